Serve a chat through two boxes: the thin path as separate processes

The whole path over loopback, nothing mocked inside: caller, entry box, the engine's home box, engine stand-in; configuration by an operator's gRPC call through the platform stand-in and the boxes' agents.

Not there yet: requests that may not be repeated, the demo, the load tool, burn, most tests.

--- /dev/null
+++ b/include/net/Net.h
@@ -0,0 +1,39 @@
+// Short names for the parts of Boost.Asio and Beast that the processes use, and the one clock read.
+#pragma once
+
+#include "include/base/Result.h"
+#include "include/base/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace onyx {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using Endpoint = Tcp::endpoint;
+template <class T = void>
+using Task = asio::awaitable<T>;
+
+// Reads both clocks of this box. Thread safety: any thread.
+Now ReadClocks();
+
+// Parses "ip:port" (IPv4) or "[ip]:port" (IPv6). Names are not looked up.
+// Errors: kBadInput, with the text as peer. Thread safety: any thread.
+Result<Endpoint> ParseEndpoint(std::string_view text);
+
+// The endpoint as "ip:port". Thread safety: any thread.
+std::string EndpointText(const Endpoint& endpoint);
+
+// Waits. Preconditions: called in a coroutine. Thread safety: that coroutine's executor.
+Task<> SleepFor(Millis wait);
+
+// Runs `task` on its own; an exception that leaves it is logged as event 1002 and ends the task.
+// Thread safety: any thread.
+void Spawn(asio::any_io_executor executor, Task<> task);
+
+}  // namespace onyx
--- /dev/null
+++ b/include/observe/Events.h
@@ -0,0 +1,63 @@
+// Numbered log events. Every line that a process logs is one of these; docs/EVENTS.md says what
+// each means and what to do.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace onyx {
+
+// The catalogue. Numbers are never reused; docs/EVENTS.md and a test keep the two lists equal.
+enum class Event : uint16_t {
+    kStarted = 1000,
+    kStopping = 1001,
+    kTaskFailed = 1002,
+    kSettingsBad = 1003,
+    kListenFailed = 1004,
+    kPeerUp = 1100,
+    kPeerDown = 1101,
+    kFrameBad = 1102,
+    kPeerVersion = 1103,
+    kHomesChanged = 1110,
+    kConfigInForce = 1200,
+    kConfigStale = 1201,
+    kConfigCorrupt = 1202,
+    kConfigFromPeer = 1203,
+    kPlatformDown = 1300,
+    kPlatformUp = 1301,
+    kLeaseHeld = 1400,
+    kLeaseLost = 1401,
+    kRosterChanged = 1402,
+    kTakeover = 1403,
+    kPromised = 1404,
+    kStreamResumed = 1500,
+    kStreamBroken = 1501,
+    kAnswerCrossed = 1502,
+    kEngineLeaving = 1503,
+    kEngineDown = 1504,
+    kPreempted = 1505,
+    kRefused = 1600,
+    kDrainStarted = 1700,
+    kDrainDone = 1701,
+    kFaultSet = 1900,
+};
+
+// One field of an event.
+struct EventField {
+    std::string_view name;
+    std::string value;
+};
+
+// Name of the event as it stands in docs/EVENTS.md. Thread safety: any thread.
+std::string_view EventName(Event event);
+
+// Logs `event` through spdlog as one structured line. Thread safety: any thread.
+void logEvent(Event event, std::initializer_list<EventField> fields);
+
+// Sets up spdlog for this process: structured lines on standard error, tagged with `process`.
+// Preconditions: called once, before other threads start. Thread safety: none.
+void SetUpLog(std::string_view process, std::string_view level);
+
+}  // namespace onyx
--- /dev/null
+++ b/include/placement/EntryPlacement.h
@@ -0,0 +1,69 @@
+// The entry box's side of placement: which engine's home to ask next for one request. A pure
+// state machine, one for each request.
+#pragma once
+
+#include "include/base/Ids.h"
+
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace onyx {
+
+// An engine that may serve the request, in the chat's order.
+struct EngineChoice {
+    EngineId engine;
+    bool ownZone = true;
+    bool saidFull = false;  // Its home's last digest said so: a hint, not a verdict.
+};
+
+// Next step of a placement.
+struct PlacementAsk {
+    EngineId engine;
+    bool followNote = false;
+    bool mayQueue = false;
+};
+
+// Not thread safe: one task owns it.
+class EntryPlacement {
+public:
+    static constexpr int kMostAsks = 8;  // Homes asked before the request queues.
+
+    // `choices`: best first. Preconditions: no engine twice.
+    explicit EntryPlacement(std::vector<EngineChoice> choices);
+
+    // The next engine to ask, or nothing: give up. The first choice is asked first even if it is
+    // said to be full, since its home may know where the chat went; then the others of the own
+    // zone, then other zones; last, the first choice again with leave to queue.
+    // Preconditions: the last ask was answered by goTo(), exclude(), or by "full".
+    std::optional<PlacementAsk> next();
+
+    // The home asked last says that the chat is known at `engine`. Preconditions: none.
+    void goTo(const EngineId& engine);
+
+    // Do not ask `engine` again: it or its home failed. Preconditions: none.
+    void exclude(const EngineId& engine);
+
+    // The chat's first choice, whose home keeps the note of where it went. Preconditions: at
+    // least one choice.
+    const EngineId& firstChoice() const { return m_choices.front().engine; }
+
+    // Homes asked so far. Preconditions: none.
+    int asks() const { return m_asks; }
+
+private:
+    enum class Phase { kFirst, kOwnZone, kOtherZones, kQueue, kDone };
+
+    std::optional<PlacementAsk> ask(const EngineId& engine, bool followNote, bool mayQueue);
+    std::optional<PlacementAsk> nextIn(bool ownZone);
+
+    std::vector<EngineChoice> m_choices;
+    std::set<EngineId> m_asked;
+    std::set<EngineId> m_excluded;
+    std::optional<EngineId> m_noted;
+    Phase m_phase = Phase::kFirst;
+    int m_asks = 0;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/include/router/ConfigController.h
@@ -0,0 +1,43 @@
+// Holds the configuration in force on this box.
+#pragma once
+
+#include "generated/frames_generated.h"
+#include "include/config/RevisionGate.h"
+#include "include/config/Snapshot.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace onyx {
+
+// Not thread safe: one io_context.
+class ConfigController {
+public:
+    using OnChange = std::function<void(const Snapshot&)>;
+
+    // Calls `onChange` after each change. Preconditions: set before the first offer.
+    void addListener(OnChange onChange) { m_listeners.push_back(std::move(onChange)); }
+
+    // Offers a configuration from the agent or a peer. A lower revision is refused (event 1201); a
+    // corrupt one too (event 1202), and the last good one stays in force. Returns whether it came
+    // into force. Preconditions: none.
+    bool offer(const wire::ConfigSnapshotT& offered, std::string_view source);
+
+    // The configuration in force; null before the first. Preconditions: none.
+    std::shared_ptr<const Snapshot> current() const { return m_current; }
+
+    // Its revision; 0 before the first. Preconditions: none.
+    uint64_t revision() const { return m_gate.inForce(); }
+
+    // The configuration in force as a message to a peer. Preconditions: none.
+    wire::ConfigSnapshotT toMessage() const;
+
+private:
+    RevisionGate m_gate;
+    std::shared_ptr<const Snapshot> m_current;
+    std::vector<OnChange> m_listeners;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/include/router/PeerController.h
@@ -0,0 +1,118 @@
+// The links to other boxes: dials every listed box, exchanges heartbeats with digests, and carries
+// runs to their homes and the answers back.
+#pragma once
+
+#include "include/membership/PeerTable.h"
+#include "include/router/HomeController.h"
+#include "include/router/RouterContext.h"
+#include "include/router/RunChannel.h"
+#include "include/wire/FrameLink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace onyx {
+
+// Bytes a digest may take, and so how often it may be sent. Preconditions: budget > 0.
+// Returns the period: `wanted`, stretched until `peers` digests of `bytes` each fit in `budget`
+// bytes a second. Thread safety: any thread.
+Millis DigestPeriod(Millis wanted, size_t peers, size_t bytes, int64_t budget);
+
+// Not thread safe: one io_context.
+class PeerController {
+public:
+    // A message that is not about runs, with the box that sent it.
+    using OnMessage = std::function<void(const MemberId&, wire::BodyUnion&)>;
+    using OnDigest = std::function<void(const MemberId&, const wire::DigestT&)>;
+
+    // Preconditions: all arguments outlive the controller.
+    PeerController(RouterContext& context, PeerTable& table, HomeController& home);
+
+    // Starts to dial and to send digests. Preconditions: called once.
+    void start();
+
+    // The boxes that the platform lists, by address. Preconditions: none.
+    void setListed(std::map<std::string, std::string> addresses);
+
+    // Takes an accepted, greeted link from another router. Preconditions: not started.
+    void accepted(std::shared_ptr<FrameLink> link);
+
+    // Sends a run to `home`, this box among them; its messages come through the channel.
+    // Preconditions: request.id came from nextRunId().
+    std::shared_ptr<RunChannel> open(const MemberId& home, wire::RunRequestT request);
+
+    // Ends a run early. Preconditions: the run was opened at `home`.
+    void cancel(const MemberId& home, uint64_t id);
+
+    // Forgets a run whose end was read. Preconditions: none.
+    void forget(uint64_t id) { m_runs.erase(id); }
+
+    // A fresh id for a run. Preconditions: none.
+    uint64_t nextRunId() { return ++m_lastRun; }
+
+    // Sends a message to `member` if it is linked; false if not. Preconditions: none.
+    bool send(const MemberId& member, const wire::BodyUnion& body);
+
+    // Who takes runs of keys that this box owns, and messages about the roster.
+    // Preconditions: set before start().
+    using OnKeyed = std::function<void(const MemberId&, wire::RunRequestT, RunSink)>;
+    void setOnKeyed(OnKeyed onKeyed) { m_onKeyed = std::move(onKeyed); }
+    void setOnMessage(OnMessage onMessage) { m_onMessage = std::move(onMessage); }
+    void setOnDigest(OnDigest onDigest) { m_onDigest = std::move(onDigest); }
+
+    // This box's greeting. Preconditions: none.
+    wire::HelloT hello() const;
+
+    // This box's digest, for new links. Preconditions: none.
+    wire::DigestT digest();
+
+    // Roster epoch that the digest carries. Preconditions: none.
+    void setRosterEpoch(uint64_t epoch) { m_rosterEpoch = epoch; }
+
+    // Bytes of control traffic sent: digests, roster messages, notes. Preconditions: none.
+    uint64_t controlBytesSent() const { return m_controlBytes; }
+
+    // Sends a digest to all peers now, so that they learn of a drain. Preconditions: none.
+    void sendDigests();
+
+private:
+    struct Dialed {
+        std::string address;
+        std::shared_ptr<FrameLink> link;
+        bool dialing = false;
+    };
+
+    Task<> dialLoop();
+    Task<> dial(std::string address);
+    Task<> digestLoop();
+    void onFrame(const std::shared_ptr<FrameLink>& link, wire::BodyUnion& body);
+    void onRunRequest(const std::shared_ptr<FrameLink>& link, wire::RunRequestT request);
+    void onDigest(const MemberId& box, const wire::DigestT& digest);
+    bool onRunMessage(wire::BodyUnion& body);
+    void closed(const std::string& address, const MemberId& member);
+    void checkHomes();
+
+    RouterContext& m_context;
+    PeerTable& m_table;
+    HomeController& m_home;
+    std::map<std::string, Dialed> m_dialed;  // By address.
+    std::map<MemberId, std::shared_ptr<FrameLink>> m_links;  // Outgoing, by member.
+    struct OpenRun {
+        MemberId home;
+        std::shared_ptr<RunChannel> channel;
+    };
+    std::map<uint64_t, OpenRun> m_runs;
+    OnKeyed m_onKeyed;
+    OnMessage m_onMessage;
+    OnDigest m_onDigest;
+    uint64_t m_lastRun = 0;
+    uint64_t m_digestSequence = 0;
+    uint64_t m_rosterEpoch = 0;
+    uint64_t m_controlBytes = 0;
+    uint64_t m_homesVersion = 0;
+    MonoTime m_nextConfigAsk;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/include/router/RouterContext.h
@@ -0,0 +1,31 @@
+// What the router's controllers and handlers share: the executor, the settings, the metrics and
+// the configuration. Owned by Router, which outlives all of them.
+#pragma once
+
+#include "include/net/Net.h"
+#include "include/observe/Metrics.h"
+#include "include/router/ConfigController.h"
+#include "include/router/RouterSettings.h"
+
+namespace onyx {
+
+// Not thread safe: one io_context.
+struct RouterContext {
+    RouterContext(asio::any_io_executor ioExecutor, RouterSettings routerSettings)
+        : executor(std::move(ioExecutor)), settings(std::move(routerSettings)) {}
+
+    asio::any_io_executor executor;
+    RouterSettings settings;
+    MemberId self;
+    Metrics metrics;
+    ConfigController config;
+    bool draining = false;
+
+    // An id that no other attempt of any box has: box, incarnation, sequence. Preconditions: none.
+    std::string nextUpstreamId() { return self.value + "-" + std::to_string(++m_sequence); }
+
+private:
+    uint64_t m_sequence = 0;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/include/wire/FrameCodec.h
@@ -0,0 +1,37 @@
+// Frames between the project's own processes: a length, then a FlatBuffers message that was
+// checked by the library's verifier. The messages are in schema/frames.fbs.
+#pragma once
+
+#include "generated/frames_generated.h"
+#include "include/base/Result.h"
+
+#include <span>
+#include <string>
+
+namespace onyx {
+
+inline constexpr uint32_t kWireVersion = 1;
+inline constexpr size_t kFrameHeaderSize = 4;             // Length of the rest, little endian.
+inline constexpr size_t kMostFrameSize = 8 * 1024 * 1024;  // Larger frames break the protocol.
+
+// Wraps a message of the schema (such as wire::DigestT) and encodes it with its length.
+// Preconditions: the message encodes to at most kMostFrameSize. Thread safety: any thread.
+std::string EncodeFrame(const wire::BodyUnion& body);
+
+// Encodes one message of the schema. Preconditions and thread safety as above.
+template <class Message>
+std::string EncodeMessage(Message message) {
+    wire::BodyUnion body;
+    body.Set(std::move(message));
+    return EncodeFrame(body);
+}
+
+// Length of the frame that follows `header`. Errors: kProtocol if it is 0 or too large.
+// Preconditions: header.size() == kFrameHeaderSize. Thread safety: any thread.
+Result<size_t> DecodeFrameSize(std::span<const char> header);
+
+// Checks and unpacks a frame's content. Errors: kProtocol if the verifier rejects it, or if it
+// holds no message that this version knows. Preconditions: none. Thread safety: any thread.
+Result<wire::BodyUnion> DecodeFrame(std::span<const char> content);
+
+}  // namespace onyx
--- /dev/null
+++ b/src/net/Program.cpp
@@ -0,0 +1,50 @@
+#include "include/net/Program.h"
+
+#include "include/observe/Events.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdio>
+
+namespace onyx {
+
+int FailWith(const Error& error) {
+    std::fprintf(stderr, "%s\n", error.text().c_str());
+    return error.code == ErrorCode::kBadInput ? kExitBadInput : kExitFailed;
+}
+
+bool LoadSettings(const std::string& path, const std::function<void(SettingsReader&)>& read) {
+    auto reader = SettingsReader::MakeFromFile(path);
+    if (reader.has_error()) {
+        FailWith(reader.error());
+        return false;
+    }
+    read(reader.value());
+    const std::string problems = reader.value().problems();
+    std::fputs(problems.c_str(), stderr);
+    return problems.empty();
+}
+
+void RunUntilStopped(asio::io_context& io, const std::function<void()>& onStop) {
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    int seen = 0;
+    std::function<void(const boost::system::error_code&, int)> onSignal =
+        [&](const boost::system::error_code& ec, int) {
+            if (ec) {
+                return;
+            }
+            if (++seen > 1) {
+                io.stop();
+                return;
+            }
+            logEvent(Event::kStopping, {});
+            signals.async_wait(onSignal);
+            onStop();
+        };
+    signals.async_wait(onSignal);
+    io.run();
+}
+
+}  // namespace onyx
--- /dev/null
+++ b/src/observe/Events.cpp
@@ -0,0 +1,94 @@
+#include "include/observe/Events.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace onyx {
+
+std::string_view EventName(Event event) {
+    switch (event) {
+        case Event::kStarted:
+            return "started";
+        case Event::kStopping:
+            return "stopping";
+        case Event::kTaskFailed:
+            return "task-failed";
+        case Event::kSettingsBad:
+            return "settings-bad";
+        case Event::kListenFailed:
+            return "listen-failed";
+        case Event::kPeerUp:
+            return "peer-up";
+        case Event::kPeerDown:
+            return "peer-down";
+        case Event::kFrameBad:
+            return "frame-bad";
+        case Event::kPeerVersion:
+            return "peer-version";
+        case Event::kHomesChanged:
+            return "homes-changed";
+        case Event::kConfigInForce:
+            return "config-in-force";
+        case Event::kConfigStale:
+            return "config-stale";
+        case Event::kConfigCorrupt:
+            return "config-corrupt";
+        case Event::kConfigFromPeer:
+            return "config-from-peer";
+        case Event::kPlatformDown:
+            return "platform-down";
+        case Event::kPlatformUp:
+            return "platform-up";
+        case Event::kLeaseHeld:
+            return "lease-held";
+        case Event::kLeaseLost:
+            return "lease-lost";
+        case Event::kRosterChanged:
+            return "roster-changed";
+        case Event::kTakeover:
+            return "takeover";
+        case Event::kPromised:
+            return "promised";
+        case Event::kStreamResumed:
+            return "stream-resumed";
+        case Event::kStreamBroken:
+            return "stream-broken";
+        case Event::kAnswerCrossed:
+            return "answer-crossed";
+        case Event::kEngineLeaving:
+            return "engine-leaving";
+        case Event::kEngineDown:
+            return "engine-down";
+        case Event::kPreempted:
+            return "preempted";
+        case Event::kRefused:
+            return "refused";
+        case Event::kDrainStarted:
+            return "drain-started";
+        case Event::kDrainDone:
+            return "drain-done";
+        case Event::kFaultSet:
+            return "fault-set";
+    }
+    return "unlisted";
+}
+
+void logEvent(Event event, std::initializer_list<EventField> fields) {
+    nlohmann::ordered_json line = {{"event", static_cast<int>(event)}, {"name", EventName(event)}};
+    for (const EventField& field : fields) {
+        line[std::string(field.name)] = field.value;
+    }
+    using nlohmann::json;
+    spdlog::info("{}", line.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void SetUpLog(std::string_view process, std::string_view level) {
+    auto logger = spdlog::stderr_logger_mt(std::string(process));
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
+    logger->set_level(spdlog::level::from_str(std::string(level)));
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+}  // namespace onyx
--- /dev/null
+++ b/tests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/onyx-load.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/tools/onyxctl.cpp
@@ -0,0 +1,6 @@
+// onyxctl: the operators' command line.
+#include "include/admin/Ctl.h"
+
+int main(int argc, char** argv) {
+    return onyx::RunCtl(argc, argv);
+}
