Own keys: leases, rosters, consent, promises and a ledger as pure state machines

Requests that may not be repeated run at most once: one owner a key, fenced per owner by a lease and a roster in the platform, with consent of all that stay to each change and promises among members for a platform outage (docs/design/at-most-once.md will carry it).

--- /dev/null
+++ b/include/membership/RosterKeeper.h
@@ -0,0 +1,317 @@
+// Agreement about who owns keys, without a consensus group: a lease for each box and one roster a
+// zone in the platform, consent of all that stay to each change, and promises among the members
+// to go on while the platform is out of reach. A pure state machine; the rules and why each is
+// needed are in docs/design/at-most-once.md.
+#pragma once
+
+#include "include/base/Ids.h"
+#include "include/base/Time.h"
+#include "include/membership/Roster.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace onyx {
+
+// A box's lease as it stands in the platform.
+struct LeaseRecord {
+    MemberId holder;
+    bool revoked = false;
+
+    friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
+};
+
+// How a call to the platform ended.
+enum class CallStatus : uint8_t {
+    kOk,
+    kConflict,     // The object has another version: no effect.
+    kMissing,      // Read only: there is no such object.
+    kUnavailable,  // No effect.
+    kUnknown,      // It may have taken effect.
+};
+
+// Events.
+struct KeeperTick {};
+struct RosterReply {
+    uint64_t call = 0;
+    CallStatus status = CallStatus::kOk;
+    uint64_t version = 0;
+    Roster roster;  // For a read.
+};
+struct LeaseReply {
+    uint64_t call = 0;
+    CallStatus status = CallStatus::kOk;
+    uint64_t version = 0;
+    LeaseRecord record;  // For a read.
+};
+struct ConsentAsked {  // `from` wants the next epoch to have `members`.
+    MemberId from;
+    uint64_t epoch = 0;
+    std::vector<MemberId> members;
+};
+struct ConsentAnswered {
+    MemberId from;
+    uint64_t epoch = 0;
+    bool granted = false;
+};
+struct PromiseAsked {  // `from` wants a promise that it is not removed from `epoch` for a while.
+    MemberId from;
+    uint64_t round = 0;
+    uint64_t epoch = 0;
+};
+struct PromiseAnswered {
+    MemberId from;
+    uint64_t round = 0;
+    uint64_t epoch = 0;
+    bool granted = false;
+};
+struct MemberSeen {
+    MemberId member;
+    bool draining = false;  // It lives, but must not be taken into the roster.
+};
+struct MembersLive {  // The zone's members that are heard now, this one left out.
+    std::vector<MemberSeen> members;
+};
+struct EpochSeen {  // Somebody has a roster of this epoch.
+    uint64_t epoch = 0;
+};
+struct HandoverTaken {  // `from` handed over all that it knows of the keys that `epoch` moves here.
+    MemberId from;
+    uint64_t epoch = 0;
+    Handover handover;
+};
+struct BoxesListed {  // Names of all boxes that the platform lists.
+    std::set<std::string> names;
+};
+struct LeaveRoster {};  // A planned stop: leave the roster as soon as the others consent.
+
+using KeeperEvent =
+    std::variant<KeeperTick, RosterReply, LeaseReply, ConsentAsked, ConsentAnswered, PromiseAsked,
+                 PromiseAnswered, MembersLive, EpochSeen, HandoverTaken, BoxesListed, LeaveRoster>;
+
+// Actions. Each platform call gets exactly one reply event with its number.
+struct ReadRoster {
+    uint64_t call = 0;
+};
+struct WriteRoster {
+    uint64_t call = 0;
+    uint64_t expect = 0;
+    Roster roster;
+};
+struct ReadLease {
+    uint64_t call = 0;
+    std::string box;
+};
+struct WriteLease {
+    uint64_t call = 0;
+    std::string box;
+    uint64_t expect = 0;
+    LeaseRecord record;
+};
+struct AskConsent {
+    MemberId to;
+    uint64_t epoch = 0;
+    std::vector<MemberId> members;
+};
+struct AnswerConsent {
+    MemberId to;
+    uint64_t epoch = 0;
+    bool granted = false;
+};
+struct AskPromise {
+    MemberId to;
+    uint64_t round = 0;
+    uint64_t epoch = 0;
+};
+struct AnswerPromise {
+    MemberId to;
+    uint64_t round = 0;
+    uint64_t epoch = 0;
+    bool granted = false;
+};
+struct EpochTaken {  // A newer roster is in force here.
+    uint64_t epoch = 0;
+};
+struct Rejoined {  // The old membership is over: what was kept for it must be dropped.
+    MemberId member;
+};
+struct Consented {  // This member's keys that `members` own differently are at rest from now on.
+    uint64_t epoch = 0;
+    std::vector<MemberId> members;
+};
+struct LeftRoster {};  // The planned stop is through: this box owns no keys any more.
+
+using KeeperAction =
+    std::variant<ReadRoster, WriteRoster, ReadLease, WriteLease, AskConsent, AnswerConsent,
+                 AskPromise, AnswerPromise, EpochTaken, Rejoined, Consented, LeftRoster>;
+
+// The rules, each of which can be taken out: only tests do so, to show what breaks without it.
+struct KeeperRules {
+    bool lease = true;    // Run only under a lease or promises.
+    bool consent = true;  // Change the roster only with the consent of all that stay.
+    bool mint = true;     // Run only keys minted after they were gained.
+    bool revoke = true;   // Remove a member only once its lease is revoked and over.
+};
+
+// All times in milliseconds.
+struct KeeperSettings {
+    Millis lease = 6000;
+    Millis renew = 2000;
+    Millis drift = 500;          // Margin for clocks that run at different rates.
+    Millis skew = 500;           // Most that two boxes' wall clocks may differ.
+    Millis promise = 4000;
+    Millis takeoverAfter = 2000; // A member that is not heard for so long is taken over.
+    Millis retry = 200;          // Between asks for consent.
+    Millis stuck = 20000;        // A proposal that is not through by then is ended.
+    size_t mostMembers = 16;
+    KeeperRules rules;
+};
+
+// Why a key may or may not be run here now.
+enum class KeyRight : uint8_t {
+    kMayRun,
+    kNotOwner,    // Another member owns it, or this one is not in the roster.
+    kMoving,      // It would change hands by a change that this member consented to.
+    kNoLease,     // Neither lease nor promises cover this moment.
+    kTooOld,      // Minted before this member gained it: an earlier owner may have run it.
+    kInFuture,    // Minted later than the clocks' skew allows.
+};
+
+// Not thread safe: one task owns it. Copyable: tests explore from copies.
+class RosterKeeper {
+public:
+    // `member`: this process, "box#incarnation". Preconditions: renew < lease.
+    RosterKeeper(MemberId member, const KeeperSettings& settings);
+
+    // Takes an event and returns what to do. Preconditions: `now` never goes back on the
+    // monotonic clock.
+    std::vector<KeeperAction> step(const KeeperEvent& event, const Now& now);
+
+    // Whether this member may run `key` at this moment. Ask again right before dispatch.
+    // Preconditions: none.
+    KeyRight right(std::string_view key, WallTime mintedAt, const Now& now) const;
+
+    // The owner of `key` by the newest roster seen. Preconditions: none.
+    std::optional<MemberId> ownerOf(std::string_view key) const {
+        return m_history.current().ownerOf(key);
+    }
+
+    // This box as a member: it changes when the box joins again. Preconditions: none.
+    const MemberId& self() const { return m_self; }
+    // The newest roster seen. Preconditions: none.
+    const Roster& roster() const { return m_history.current(); }
+    // Whether the lease covers `now`. Preconditions: none.
+    bool leaseValid(const Now& now) const { return now.mono < m_leaseUntil; }
+    // Whether promises of all other members cover `now`. Preconditions: none.
+    bool promised(const Now& now) const;
+    // Whether this member consented to a change that is not through. Preconditions: none.
+    bool joint() const { return m_joint.has_value(); }
+    // The state in a line, for status pages and to tell states apart. Preconditions: none.
+    std::string describe(const Now& now) const;
+
+private:
+    using Actions = std::vector<KeeperAction>;
+    enum class OwnLease : uint8_t { kUnread, kKnown, kSuperseded };
+    // How far the removal of one member has come.
+    struct Removal {
+        bool read = false;
+        bool revoked = false;
+        uint64_t version = 0;
+        MonoTime seenAt;
+        uint64_t call = 0;
+    };
+    struct Proposal {
+        uint64_t epoch = 0;
+        std::vector<MemberId> members;
+        std::map<MemberId, Removal> removals;
+        std::set<MemberId> consents;
+        MonoTime startedAt;
+        MonoTime askedAt;
+        bool ending = false;  // Same members: ends a change that got stuck.
+        uint64_t writeCall = 0;
+        Roster written;
+    };
+
+    void onEvent(const KeeperTick&, const Now& now, Actions& out);
+    void onEvent(const RosterReply& event, const Now& now, Actions& out);
+    void onEvent(const LeaseReply& event, const Now& now, Actions& out);
+    void onEvent(const ConsentAsked& event, const Now& now, Actions& out);
+    void onEvent(const ConsentAnswered& event, const Now& now, Actions& out);
+    void onEvent(const PromiseAsked& event, const Now& now, Actions& out);
+    void onEvent(const PromiseAnswered& event, const Now& now, Actions& out);
+    void onEvent(const MembersLive& event, const Now& now, Actions& out);
+    void onEvent(const EpochSeen& event, const Now& now, Actions& out);
+    void onEvent(const HandoverTaken& event, const Now& now, Actions& out);
+    void onEvent(const BoxesListed& event, const Now& now, Actions& out);
+    void onEvent(const LeaveRoster&, const Now& now, Actions& out);
+
+    void renewLease(const Now& now, Actions& out);
+    void ownLeaseReply(const LeaseReply& event, const Now& now, Actions& out);
+    void rejoin(Actions& out);
+    void readRoster(const Now& now, Actions& out);
+    void takeRoster(const Roster& next, const Now& now, Actions& out);
+    void askPromises(const Now& now, Actions& out);
+    bool grantConsent(uint64_t epoch, const std::vector<MemberId>& members, const Now& now,
+                      Actions& out);
+
+    void considerProposal(const Now& now, Actions& out);
+    std::vector<MemberId> wantedMembers(const Now& now) const;
+    bool isDead(const MemberId& member, const Now& now) const;
+    bool isProposer(const Now& now) const;
+    bool mayReplaceAll() const;
+    bool mustEndChange(const Now& now) const;
+    void startProposal(std::vector<MemberId> members, bool ending, const Now& now);
+    void advanceProposal(const Now& now, Actions& out);
+    bool advanceRemovals(const Now& now, Actions& out);
+    bool collectConsents(const Now& now, Actions& out);
+    void removalReply(Removal& removal, const MemberId& member, const LeaseReply& event,
+                      const Now& now);
+    void writeRoster(const Now& now, Actions& out);
+    uint64_t nextCall() { return ++m_lastCall; }
+
+    MemberId m_base;  // The process.
+    MemberId m_self;  // The process and how often it joined.
+    uint64_t m_generation = 0;
+    KeeperSettings m_settings;
+
+    OwnLease m_leaseState = OwnLease::kUnread;
+    uint64_t m_leaseVersion = 0;
+    MonoTime m_leaseSentAt;
+    MonoTime m_leaseUntil;
+    uint64_t m_leaseCall = 0;
+    bool m_leaseEverHeld = false;
+    bool m_platformFails = false;
+    MonoTime m_nextRenew;
+
+    RosterHistory m_history;
+    uint64_t m_rosterVersion = 0;  // Of the roster object; 0 stands for "none".
+    bool m_rosterRead = false;
+    uint64_t m_rosterCall = 0;
+    MonoTime m_nextRosterRead;
+
+    std::optional<Proposal> m_proposal;
+    std::optional<std::vector<MemberId>> m_joint;  // Members of the change consented to.
+    MonoTime m_jointSince;
+    std::map<MemberId, MonoTime> m_promisesGiven;
+    std::map<MemberId, MonoTime> m_withheld;  // No promises: somebody asked to remove them.
+    std::map<MemberId, MonoTime> m_promisesHeld;
+    std::map<uint64_t, MonoTime> m_promiseRounds;  // When each round was asked.
+    uint64_t m_promiseRound = 0;
+    MonoTime m_nextPromiseAsk;
+
+    Handovers m_handovers;
+    bool m_storeWentBack = false;  // The platform shows an older epoch than was seen.
+
+    std::map<MemberId, bool> m_live;  // Whether it drains.
+    std::map<MemberId, MonoTime> m_lastHeard;
+    std::set<std::string> m_listed;
+    std::set<MemberId> m_condemned;  // Their leases are revoked: they must go.
+    bool m_leaving = false;
+    uint64_t m_lastCall = 0;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/src/membership/RosterKeeper.cpp
@@ -0,0 +1,594 @@
+#include "include/membership/RosterKeeper.h"
+
+#include <algorithm>
+
+namespace onyx {
+
+namespace {
+
+constexpr size_t kMostRounds = 16;
+constexpr size_t kMostHandovers = 64;
+
+MemberId WithGeneration(const MemberId& process, uint64_t generation) {
+    return MemberId(process.value + "." + std::to_string(generation));
+}
+
+bool Contains(const std::vector<MemberId>& sorted, const MemberId& member) {
+    return std::binary_search(sorted.begin(), sorted.end(), member);
+}
+
+}  // namespace
+
+RosterKeeper::RosterKeeper(MemberId member, const KeeperSettings& settings)
+    : m_base(std::move(member)), m_self(WithGeneration(m_base, 0)), m_settings(settings) {}
+
+std::vector<KeeperAction> RosterKeeper::step(const KeeperEvent& event, const Now& now) {
+    Actions out;
+    std::visit([&](const auto& e) { onEvent(e, now, out); }, event);
+    return out;
+}
+
+// ---- Rights ----
+
+KeyRight RosterKeeper::right(std::string_view key, WallTime mintedAt, const Now& now) const {
+    if (mintedAt > now.wall + m_settings.skew) {
+        return KeyRight::kInFuture;
+    }
+    if (m_history.current().ownerOf(key) != m_self) {
+        return KeyRight::kNotOwner;
+    }
+    if (m_joint && OwnerAmong(key, *m_joint) != m_self) {
+        return KeyRight::kMoving;
+    }
+    if (m_settings.rules.lease && !leaseValid(now) && !promised(now)) {
+        return KeyRight::kNoLease;
+    }
+    // Twice the skew: once for the clock of the box that wrote the epoch's start, once for the
+    // clock of the earlier owner, which took keys up to one skew ahead of it.
+    const auto gained = m_history.gainedAt(key, m_self, m_handovers);
+    const bool tooOld = !gained || mintedAt <= *gained + 2 * m_settings.skew;
+    return m_settings.rules.mint && tooOld ? KeyRight::kTooOld : KeyRight::kMayRun;
+}
+
+bool RosterKeeper::promised(const Now& now) const {
+    const Roster& current = roster();
+    if (m_joint || !current.has(m_self)) {
+        return false;
+    }
+    return std::all_of(current.members.begin(), current.members.end(), [&](const MemberId& other) {
+        const auto held = m_promisesHeld.find(other);
+        return other == m_self || (held != m_promisesHeld.end() && now.mono < held->second);
+    });
+}
+
+// ---- The clock ----
+
+void RosterKeeper::onEvent(const KeeperTick&, const Now& now, Actions& out) {
+    renewLease(now, out);
+    if (now.mono >= m_nextRosterRead) {
+        readRoster(now, out);
+    }
+    if (m_platformFails && now.mono >= m_nextPromiseAsk) {
+        askPromises(now, out);
+    }
+    considerProposal(now, out);
+}
+
+// ---- The own lease ----
+
+void RosterKeeper::renewLease(const Now& now, Actions& out) {
+    const bool idle = m_leaseCall == 0 && m_leaseState != OwnLease::kSuperseded;
+    if (!idle || now.mono < m_nextRenew) {
+        return;
+    }
+    m_leaseCall = nextCall();
+    m_leaseSentAt = now.mono;
+    m_nextRenew = now.mono + m_settings.renew;
+    const std::string box = BoxOf(m_self);
+    if (m_leaseState == OwnLease::kUnread) {
+        out.emplace_back(ReadLease{m_leaseCall, box});
+    } else {
+        out.emplace_back(WriteLease{m_leaseCall, box, m_leaseVersion, {m_self, false}});
+    }
+}
+
+void RosterKeeper::ownLeaseReply(const LeaseReply& event, const Now& now, Actions& out) {
+    m_leaseCall = 0;
+    const bool failed =
+        event.status == CallStatus::kUnavailable || event.status == CallStatus::kUnknown;
+    m_platformFails = failed;
+    if (m_leaseState == OwnLease::kKnown) {
+        if (event.status == CallStatus::kOk) {
+            m_leaseVersion = event.version;
+            m_leaseEverHeld = true;
+            // Counted from when the renewal was sent: the platform may have answered late.
+            m_leaseUntil = m_leaseSentAt + m_settings.lease;
+        } else if (event.status != CallStatus::kUnavailable) {
+            m_leaseState = OwnLease::kUnread;
+            m_nextRenew = event.status == CallStatus::kConflict ? now.mono : m_nextRenew;
+        }
+        return;
+    }
+    if (failed) {
+        return;
+    }
+    const bool missing = event.status == CallStatus::kMissing;
+    const bool ours = !missing && event.record.holder == m_self;
+    const bool otherLife = !missing && ProcessOf(event.record.holder) != m_base;
+    if (otherLife && m_leaseEverHeld) {
+        m_leaseState = OwnLease::kSuperseded;  // The box has a newer life.
+        m_leaseUntil = {};
+        return;
+    }
+    if (ours && event.record.revoked) {
+        rejoin(out);
+    }
+    m_leaseState = OwnLease::kKnown;
+    m_leaseVersion = missing ? 0 : event.version;
+    m_nextRenew = now.mono;
+    renewLease(now, out);
+}
+
+void RosterKeeper::rejoin(Actions& out) {
+    ++m_generation;
+    m_self = WithGeneration(m_base, m_generation);
+    m_history.clear();
+    m_handovers.clear();
+    m_joint.reset();
+    m_proposal.reset();
+    m_promisesHeld.clear();
+    m_leaseUntil = {};
+    m_leaseState = OwnLease::kUnread;
+    m_rosterRead = false;
+    m_nextRosterRead = {};
+    m_nextRenew = {};
+    out.emplace_back(Rejoined{m_self});
+}
+
+void RosterKeeper::onEvent(const LeaseReply& event, const Now& now, Actions& out) {
+    if (event.call == m_leaseCall) {
+        ownLeaseReply(event, now, out);
+        return;
+    }
+    if (!m_proposal) {
+        return;
+    }
+    for (auto& [member, removal] : m_proposal->removals) {
+        if (removal.call == event.call) {
+            removalReply(removal, member, event, now);
+        }
+    }
+    considerProposal(now, out);
+}
+
+// ---- The roster ----
+
+void RosterKeeper::readRoster(const Now& now, Actions& out) {
+    if (m_rosterCall != 0) {
+        return;
+    }
+    m_rosterCall = nextCall();
+    m_nextRosterRead = now.mono + m_settings.renew;
+    out.emplace_back(ReadRoster{m_rosterCall});
+}
+
+void RosterKeeper::onEvent(const EpochSeen& event, const Now& now, Actions& out) {
+    if (event.epoch > roster().epoch) {
+        readRoster(now, out);
+    }
+}
+
+void RosterKeeper::onEvent(const RosterReply& event, const Now& now, Actions& out) {
+    const bool written = m_proposal && event.call == m_proposal->writeCall;
+    if (written) {
+        m_proposal->writeCall = 0;
+        if (event.status == CallStatus::kOk) {
+            const Roster next = m_proposal->written;
+            m_rosterVersion = event.version;
+            takeRoster(next, now, out);
+        } else if (event.status != CallStatus::kUnavailable) {
+            readRoster(now, out);  // Somebody else was first, or the answer was lost.
+        }
+        return;
+    }
+    if (event.call != m_rosterCall) {
+        return;
+    }
+    m_rosterCall = 0;
+    if (event.status != CallStatus::kOk && event.status != CallStatus::kMissing) {
+        return;
+    }
+    const Roster read = event.status == CallStatus::kOk ? event.roster : Roster{};
+    m_rosterRead = true;
+    m_rosterVersion = event.status == CallStatus::kOk ? event.version : 0;
+    m_storeWentBack = read.epoch < roster().epoch;
+    if (read.epoch > roster().epoch) {
+        takeRoster(read, now, out);
+    }
+    considerProposal(now, out);
+}
+
+void RosterKeeper::takeRoster(const Roster& next, const Now& now, Actions& out) {
+    const bool wasMember = roster().has(m_self);
+    if (!m_history.add(next)) {
+        return;
+    }
+    m_joint.reset();
+    m_promisesHeld.clear();
+    m_promiseRounds.clear();
+    m_proposal.reset();
+    m_storeWentBack = false;
+    m_withheld.clear();
+    for (const MemberId& member : next.members) {
+        m_lastHeard.try_emplace(member, now.mono);
+    }
+    std::erase_if(m_condemned, [&](const MemberId& member) { return !next.has(member); });
+    out.emplace_back(EpochTaken{next.epoch});
+    if (wasMember && !next.has(m_self)) {
+        if (m_leaving) {
+            out.emplace_back(LeftRoster{});
+        } else {
+            rejoin(out);
+        }
+    }
+}
+
+// ---- Promises ----
+
+void RosterKeeper::askPromises(const Now& now, Actions& out) {
+    const Roster& current = roster();
+    if (m_joint || !current.has(m_self)) {
+        return;
+    }
+    m_nextPromiseAsk = now.mono + std::min(m_settings.renew, m_settings.promise / 3);
+    const uint64_t round = ++m_promiseRound;
+    m_promiseRounds[round] = now.mono;
+    if (m_promiseRounds.size() > kMostRounds) {
+        m_promiseRounds.erase(m_promiseRounds.begin());
+    }
+    for (const MemberId& other : current.members) {
+        if (other != m_self) {
+            out.emplace_back(AskPromise{other, round, current.epoch});
+        }
+    }
+}
+
+void RosterKeeper::onEvent(const PromiseAsked& event, const Now& now, Actions& out) {
+    const Roster& current = roster();
+    const auto withheld = m_withheld.find(event.from);
+    const bool removing = m_condemned.contains(event.from) ||
+                          (withheld != m_withheld.end() && now.mono < withheld->second) ||
+                          (m_proposal && m_proposal->removals.contains(event.from));
+    const bool granted = event.epoch == current.epoch && current.has(m_self) &&
+                         current.has(event.from) && !m_joint && !removing;
+    if (granted) {
+        MonoTime& until = m_promisesGiven[event.from];
+        until = std::max(until, now.mono + m_settings.promise + m_settings.drift);
+    }
+    out.emplace_back(AnswerPromise{event.from, event.round, event.epoch, granted});
+}
+
+void RosterKeeper::onEvent(const PromiseAnswered& event, const Now&, Actions&) {
+    const auto asked = m_promiseRounds.find(event.round);
+    const bool current = event.epoch == roster().epoch && !m_joint;
+    if (!event.granted || !current || asked == m_promiseRounds.end()) {
+        return;
+    }
+    // Counted from when it was asked for: the other counts from later.
+    MonoTime& until = m_promisesHeld[event.from];
+    until = std::max(until, asked->second + m_settings.promise);
+}
+
+// ---- Consent ----
+
+bool RosterKeeper::grantConsent(uint64_t epoch, const std::vector<MemberId>& members,
+                                const Now& now, Actions& out) {
+    const Roster& current = roster();
+    if (epoch != current.epoch + 1 || !current.has(m_self)) {
+        return false;
+    }
+    if (m_joint) {
+        return *m_joint == members;
+    }
+    for (const MemberId& other : current.members) {
+        const auto given = m_promisesGiven.find(other);
+        const bool removed = !Contains(members, other);
+        if (removed && given != m_promisesGiven.end() && now.mono < given->second) {
+            m_withheld[other] = now.mono + m_settings.stuck;
+            return false;
+        }
+    }
+    m_joint = members;
+    m_jointSince = now.mono;
+    m_promisesHeld.clear();
+    out.emplace_back(Consented{epoch, members});
+    return true;
+}
+
+void RosterKeeper::onEvent(const ConsentAsked& event, const Now& now, Actions& out) {
+    const bool granted = roster().has(event.from) &&
+                         std::is_sorted(event.members.begin(), event.members.end()) &&
+                         grantConsent(event.epoch, event.members, now, out);
+    if (granted && m_proposal && m_proposal->members != event.members) {
+        m_proposal.reset();
+    }
+    out.emplace_back(AnswerConsent{event.from, event.epoch, granted});
+    if (event.epoch > roster().epoch + 1) {
+        readRoster(now, out);
+    }
+}
+
+void RosterKeeper::onEvent(const ConsentAnswered& event, const Now& now, Actions& out) {
+    if (!m_proposal || event.epoch != m_proposal->epoch || !event.granted) {
+        return;
+    }
+    m_proposal->consents.insert(event.from);
+    advanceProposal(now, out);
+}
+
+// ---- Changes of the roster ----
+
+void RosterKeeper::onEvent(const MembersLive& event, const Now& now, Actions&) {
+    m_live.clear();
+    for (const MemberSeen& seen : event.members) {
+        m_live[seen.member] = seen.draining;
+        m_lastHeard[seen.member] = now.mono;
+    }
+}
+
+void RosterKeeper::onEvent(const BoxesListed& event, const Now&, Actions&) {
+    m_listed = event.names;
+}
+
+void RosterKeeper::onEvent(const HandoverTaken& event, const Now&, Actions&) {
+    m_handovers[{event.epoch, event.from}] = event.handover;
+    if (m_handovers.size() > kMostHandovers) {
+        m_handovers.erase(m_handovers.begin());
+    }
+}
+
+void RosterKeeper::onEvent(const LeaveRoster&, const Now& now, Actions& out) {
+    m_leaving = true;
+    if (!roster().has(m_self)) {
+        out.emplace_back(LeftRoster{});
+        return;
+    }
+    considerProposal(now, out);
+}
+
+bool RosterKeeper::isDead(const MemberId& member, const Now& now) const {
+    if (member == m_self || m_live.contains(member)) {
+        return false;
+    }
+    const bool newerLife = std::any_of(m_live.begin(), m_live.end(), [&](const auto& other) {
+        return BoxOf(other.first) == BoxOf(member);
+    });
+    if (newerLife || BoxOf(member) == BoxOf(m_self)) {
+        return true;
+    }
+    const auto heard = m_lastHeard.find(member);
+    const MonoTime last = heard == m_lastHeard.end() ? MonoTime{} : heard->second;
+    return now.mono - last >= m_settings.takeoverAfter;
+}
+
+std::vector<MemberId> RosterKeeper::wantedMembers(const Now& now) const {
+    std::set<MemberId> wanted;
+    for (const MemberId& member : roster().members) {
+        const bool gone = isDead(member, now) || m_condemned.contains(member);
+        if (!gone && !(member == m_self && m_leaving)) {
+            wanted.insert(member);
+        }
+    }
+    const auto admit = [&](const MemberId& member) {
+        if (wanted.size() < m_settings.mostMembers && !m_condemned.contains(member)) {
+            wanted.insert(member);
+        }
+    };
+    if (!m_leaving) {
+        admit(m_self);
+    }
+    for (const auto& [member, draining] : m_live) {
+        if (!draining) {
+            admit(member);
+        }
+    }
+    return {wanted.begin(), wanted.end()};
+}
+
+bool RosterKeeper::isProposer(const Now& now) const {
+    const Roster& current = roster();
+    if (current.members.empty()) {
+        return true;
+    }
+    if (!current.has(m_self)) {
+        return mayReplaceAll();
+    }
+    if (m_leaving) {
+        return true;
+    }
+    // One proposer at a time by custom; races are settled by the conditional update.
+    for (const MemberId& member : current.members) {
+        if (member == m_self) {
+            return true;
+        }
+        const auto live = m_live.find(member);
+        if (live != m_live.end() && !live->second && !isDead(member, now)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+// Whether nobody of the roster can be running on promises any more: each member's box has a newer
+// life here, or is gone from the platform's list.
+bool RosterKeeper::mayReplaceAll() const {
+    const Roster& current = roster();
+    return std::all_of(current.members.begin(), current.members.end(), [&](const MemberId& member) {
+        const std::string box = BoxOf(member);
+        const bool newerLife =
+            box == BoxOf(m_self) || std::any_of(m_live.begin(), m_live.end(), [&](const auto& o) {
+                return BoxOf(o.first) == box && o.first != member;
+            });
+        return newerLife || (!m_listed.empty() && !m_listed.contains(box));
+    });
+}
+
+bool RosterKeeper::mustEndChange(const Now& now) const {
+    const bool stuck = m_joint && !m_leaving && now.mono - m_jointSince >= m_settings.stuck;
+    return roster().has(m_self) && (stuck || m_storeWentBack);
+}
+
+void RosterKeeper::considerProposal(const Now& now, Actions& out) {
+    if (m_proposal && now.mono - m_proposal->startedAt >= m_settings.stuck) {
+        m_proposal.reset();
+    }
+    if (m_proposal) {
+        advanceProposal(now, out);
+        return;
+    }
+    if (!m_rosterRead || !leaseValid(now)) {
+        return;
+    }
+    if (mustEndChange(now)) {
+        startProposal(roster().members, true, now);
+        advanceProposal(now, out);
+        return;
+    }
+    const bool othersChange = m_joint && !(m_leaving && !Contains(*m_joint, m_self));
+    if (othersChange || m_storeWentBack || !isProposer(now)) {
+        return;
+    }
+    std::vector<MemberId> wanted = wantedMembers(now);
+    if (wanted != roster().members) {
+        startProposal(std::move(wanted), false, now);
+        advanceProposal(now, out);
+    }
+}
+
+void RosterKeeper::startProposal(std::vector<MemberId> members, bool ending, const Now& now) {
+    Proposal proposal;
+    proposal.epoch = roster().epoch + 1;
+    proposal.members = std::move(members);
+    proposal.startedAt = now.mono;
+    proposal.ending = ending;
+    for (const MemberId& member : roster().members) {
+        if (member != m_self && !Contains(proposal.members, member)) {
+            proposal.removals[member];
+        }
+    }
+    m_proposal = std::move(proposal);
+}
+
+void RosterKeeper::advanceProposal(const Now& now, Actions& out) {
+    if (m_proposal->writeCall != 0 || !leaseValid(now)) {
+        return;
+    }
+    if (m_settings.rules.revoke && !advanceRemovals(now, out)) {
+        return;
+    }
+    const bool needsConsent = m_settings.rules.consent && !m_proposal->ending;
+    if (needsConsent && !collectConsents(now, out)) {
+        return;
+    }
+    writeRoster(now, out);
+}
+
+// Reads and revokes the leases of those to be removed; true once all are over.
+bool RosterKeeper::advanceRemovals(const Now& now, Actions& out) {
+    bool all = true;
+    for (auto& [member, removal] : m_proposal->removals) {
+        const Millis whole = m_settings.lease + m_settings.drift;
+        if (removal.revoked && now.mono >= removal.seenAt + whole) {
+            continue;
+        }
+        all = false;
+        if (removal.revoked || removal.call != 0) {
+            continue;
+        }
+        removal.call = nextCall();
+        if (removal.read) {
+            out.emplace_back(
+                WriteLease{removal.call, BoxOf(member), removal.version, {member, true}});
+        } else {
+            out.emplace_back(ReadLease{removal.call, BoxOf(member)});
+        }
+    }
+    return all;
+}
+
+void RosterKeeper::removalReply(Removal& removal, const MemberId& member, const LeaseReply& event,
+                                const Now& now) {
+    removal.call = 0;
+    if (event.status == CallStatus::kUnavailable) {
+        return;
+    }
+    if (removal.read) {
+        // A revocation's answer. If it is lost or lost out, the lease is read again.
+        removal.revoked = event.status == CallStatus::kOk;
+        removal.read = removal.revoked;
+        if (removal.revoked) {
+            m_condemned.insert(member);
+        }
+        return;
+    }
+    if (event.status != CallStatus::kOk && event.status != CallStatus::kMissing) {
+        return;
+    }
+    const bool missing = event.status == CallStatus::kMissing;
+    removal.read = true;
+    removal.version = missing ? 0 : event.version;
+    // The holder's last renewal was sent before this moment.
+    removal.seenAt = now.mono;
+    const bool held = !missing && event.record.holder == member && !event.record.revoked;
+    if (!held && !missing) {
+        removal.revoked = true;  // Revoked before, or its box has a newer life.
+        m_condemned.insert(member);
+    }
+}
+
+// Asks all that stay; true once all consented, this member too.
+bool RosterKeeper::collectConsents(const Now& now, Actions& out) {
+    Proposal& proposal = *m_proposal;
+    const Roster& current = roster();
+    if (current.has(m_self) && !grantConsent(proposal.epoch, proposal.members, now, out)) {
+        return false;
+    }
+    const bool askNow =
+        proposal.askedAt == MonoTime{} || now.mono - proposal.askedAt >= m_settings.retry;
+    bool all = true;
+    for (const MemberId& member : current.members) {
+        const bool stays = member != m_self && Contains(proposal.members, member);
+        if (!stays || proposal.consents.contains(member)) {
+            continue;
+        }
+        all = false;
+        if (askNow) {
+            out.emplace_back(AskConsent{member, proposal.epoch, proposal.members});
+        }
+    }
+    if (askNow) {
+        proposal.askedAt = now.mono;
+    }
+    return all;
+}
+
+void RosterKeeper::writeRoster(const Now& now, Actions& out) {
+    Proposal& proposal = *m_proposal;
+    proposal.writeCall = nextCall();
+    proposal.written = {proposal.epoch, proposal.members, now.wall};
+    out.emplace_back(WriteRoster{proposal.writeCall, m_rosterVersion, proposal.written});
+}
+
+std::string RosterKeeper::describe(const Now& now) const {
+    std::string text = m_self.value + " epoch " + std::to_string(roster().epoch) + " members";
+    for (const MemberId& member : roster().members) {
+        text += " " + member.value;
+    }
+    text += leaseValid(now) ? " lease" : " no-lease";
+    text += promised(now) ? " promised" : "";
+    text += m_joint ? " joint" : "";
+    text += m_proposal ? " proposing" : "";
+    return text;
+}
+
+}  // namespace onyx
