--- a/include/membership/RosterKeeper.h
+++ b/include/membership/RosterKeeper.h
@@ -202,6 +202,8 @@
 
     // This box as a member: it changes when the box joins again. Preconditions: none.
     const MemberId& self() const { return m_self; }
+    // How often this process joined anew. Preconditions: none.
+    uint64_t generation() const { return m_generation; }
     // The newest roster seen. Preconditions: none.
     const Roster& roster() const { return m_history.current(); }
     // Whether the lease covers `now`. Preconditions: none.
--- a/include/router/PeerController.h
+++ b/include/router/PeerController.h
@@ -71,6 +71,9 @@
     // Roster epoch that the digest carries. Preconditions: none.
     void setRosterEpoch(uint64_t epoch) { m_rosterEpoch = epoch; }
 
+    // How often this process joined the roster anew; the digest carries it. Preconditions: none.
+    void setGeneration(uint32_t generation) { m_generation = generation; }
+
     // Bytes of control traffic sent: digests, roster messages, notes. Preconditions: none.
     uint64_t controlBytesSent() const { return m_controlBytes; }
 
@@ -110,6 +113,7 @@
     uint64_t m_lastRun = 0;
     uint64_t m_digestSequence = 0;
     uint64_t m_rosterEpoch = 0;
+    uint32_t m_generation = 0;
     uint64_t m_controlBytes = 0;
     uint64_t m_homesVersion = 0;
     MonoTime m_nextConfigAsk;
--- a/include/router/Router.h
+++ b/include/router/Router.h
@@ -4,6 +4,7 @@
 #include "include/admission/TeamLimiter.h"
 #include "include/net/HttpServer.h"
 #include "include/router/AgentLink.h"
+#include "include/router/KeyController.h"
 #include "include/router/PlacedCall.h"
 
 #include <memory>
@@ -46,6 +47,7 @@
     HomeController m_home;
     PeerController m_peers;
     AgentLink m_agent;
+    KeyController m_keys;
     RetryBudget m_retries;
     TeamLimiter m_limiter;
     Dispatch m_dispatch;
--- a/include/router/RouterContext.h
+++ b/include/router/RouterContext.h
@@ -12,11 +12,13 @@
 // Not thread safe: one io_context.
 struct RouterContext {
     RouterContext(asio::any_io_executor ioExecutor, RouterSettings routerSettings)
-        : executor(std::move(ioExecutor)), settings(std::move(routerSettings)) {}
+        : executor(std::move(ioExecutor)),
+          settings(std::move(routerSettings)),
+          self(settings.box + "#" + std::to_string(ReadClocks().wall.ms)) {}
 
     asio::any_io_executor executor;
     RouterSettings settings;
-    MemberId self;
+    MemberId self;  // A box's life: its name and when this process started.
     Metrics metrics;
     ConfigController config;
     bool draining = false;
--- /dev/null
+++ b/src/router/KeyController.cpp
@@ -0,0 +1,534 @@
+#include "include/router/KeyController.h"
+
+#include "include/base/Hash.h"
+#include "include/idempotency/Key.h"
+#include "include/observe/Events.h"
+#include "include/placement/RendezvousOrder.h"
+
+#include <nlohmann/json.hpp>
+
+namespace onyx {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis kTick = 50;
+constexpr uint32_t kMostForwards = 1;
+constexpr Millis kAwayRetry = 1000;
+
+KeeperSettings KeeperSettingsOf(const RouterSettings& settings) {
+    KeeperSettings keeper;
+    keeper.lease = settings.leaseDuration;
+    keeper.renew = settings.leaseRenew;
+    keeper.drift = settings.driftMargin;
+    keeper.skew = settings.skewLimit;
+    keeper.promise = settings.leaseDuration * 2 / 3;
+    keeper.takeoverAfter = settings.peerTimeout + settings.driftMargin;
+    keeper.stuck = 3 * settings.leaseDuration;
+    keeper.mostMembers = static_cast<size_t>(settings.rosterMost);
+    return keeper;
+}
+
+LedgerSettings LedgerSettingsOf(const RouterSettings& settings) {
+    LedgerSettings ledger;
+    ledger.horizon = settings.ledgerHorizon;
+    ledger.most = static_cast<size_t>(settings.ledgerMost);
+    return ledger;
+}
+
+CallStatus StatusOf(wire::PlatformStatus status) {
+    switch (status) {
+        case wire::PlatformStatus::Ok:
+            return CallStatus::kOk;
+        case wire::PlatformStatus::Conflict:
+            return CallStatus::kConflict;
+        case wire::PlatformStatus::Missing:
+            return CallStatus::kMissing;
+        case wire::PlatformStatus::Unavailable:
+            return CallStatus::kUnavailable;
+        case wire::PlatformStatus::Unknown:
+            return CallStatus::kUnknown;
+    }
+    return CallStatus::kUnknown;
+}
+
+std::string LeasePath(const std::string& box) {
+    return "/keys/lease/" + box;
+}
+
+std::vector<std::string> NamesOf(const std::vector<MemberId>& members) {
+    std::vector<std::string> names;
+    for (const MemberId& member : members) {
+        names.push_back(member.value);
+    }
+    return names;
+}
+
+std::vector<MemberId> MembersOf(const std::vector<std::string>& names) {
+    return {names.begin(), names.end()};
+}
+
+std::string RosterText(const Roster& roster) {
+    return json{{"epoch", roster.epoch},
+                {"members", NamesOf(roster.members)},
+                {"started_at_ms", roster.startedAt.ms}}
+        .dump();
+}
+
+// An object that cannot be read is none: the conditional update that follows cannot succeed
+// against its version by accident, since the epoch would go back.
+Roster RosterOf(const std::string& text) {
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return {};
+    }
+    Roster roster;
+    roster.epoch = document.value("epoch", uint64_t{0});
+    roster.members = MembersOf(document.value("members", std::vector<std::string>{}));
+    roster.startedAt.ms = document.value("started_at_ms", Millis{0});
+    return roster;
+}
+
+std::string LeaseText(const LeaseRecord& record) {
+    return json{{"holder", record.holder.value}, {"revoked", record.revoked}}.dump();
+}
+
+LeaseRecord LeaseOf(const std::string& text) {
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return {};
+    }
+    return {MemberId(document.value("holder", "")), document.value("revoked", false)};
+}
+
+wire::HandoverT ToMessage(const SendLedger& action) {
+    wire::HandoverT message;
+    message.epoch = action.epoch;
+    message.since_ms = action.handover.since.ms;
+    message.members = NamesOf(action.handover.members);
+    for (const KeyEntry& entry : action.entries) {
+        auto out = std::make_unique<wire::LedgerEntryT>();
+        out->key = entry.key;
+        out->minted_ms = entry.mintedAt.ms;
+        out->digest = entry.digest;
+        out->state = static_cast<uint8_t>(entry.state);
+        out->status = entry.status;
+        out->content_type = entry.contentType;
+        out->body.assign(entry.body.begin(), entry.body.end());
+        out->body_kept = entry.bodyKept;
+        message.entries.push_back(std::move(out));
+    }
+    return message;
+}
+
+LedgerReceived FromMessage(const MemberId& from, const wire::HandoverT& message) {
+    LedgerReceived received;
+    received.from = from;
+    received.epoch = message.epoch;
+    received.handover = {{message.since_ms}, MembersOf(message.members)};
+    for (const auto& in : message.entries) {
+        KeyEntry entry;
+        entry.key = in->key;
+        entry.mintedAt = {in->minted_ms};
+        entry.digest = in->digest;
+        entry.state = static_cast<KeyState>(in->state);
+        entry.status = in->status;
+        entry.contentType = in->content_type;
+        entry.body.assign(in->body.begin(), in->body.end());
+        entry.bodyKept = in->body_kept;
+        received.entries.push_back(std::move(entry));
+    }
+    return received;
+}
+
+MemberId WithGeneration(const MemberId& process, uint32_t generation) {
+    return MemberId(process.value + "." + std::to_string(generation));
+}
+
+}  // namespace
+
+KeyController::KeyController(RouterContext& context, PeerTable& table, PeerController& peers,
+                             HomeController& home, AgentLink& agent)
+    : m_context(context),
+      m_table(table),
+      m_peers(peers),
+      m_home(home),
+      m_agent(agent),
+      m_services(context.executor),
+      m_owner(context.self, KeeperSettingsOf(context.settings),
+              LedgerSettingsOf(context.settings)) {
+    if (!context.settings.record.empty()) {
+        m_trace = std::make_unique<KeyTraceWriter>(context.settings.record, context.self,
+                                                   KeeperSettingsOf(context.settings));
+    }
+}
+
+void KeyController::start() {
+    Spawn(m_context.executor, tickLoop());
+}
+
+Task<> KeyController::tickLoop() {
+    while (true) {
+        feedLive();
+        feed(KeeperEvent(KeeperTick{}));
+        const Now now = ReadClocks();
+        const bool lease = m_owner.keeper().leaseValid(now);
+        if (lease != m_hadLease) {
+            m_hadLease = lease;
+            const bool promised = m_owner.keeper().promised(now);
+            logEvent(lease ? Event::kLeaseHeld : Event::kLeaseLost,
+                     {{"member", m_owner.keeper().self().value},
+                      {"promised", promised ? "yes" : "no"}});
+        }
+        co_await SleepFor(kTick);
+    }
+}
+
+void KeyController::feedLive() {
+    MembersLive live;
+    const Now now = ReadClocks();
+    for (const PeerInfo& peer : m_table.reachable(now.mono)) {
+        if (peer.zone.value == m_context.settings.zone) {
+            const MemberId member = WithGeneration(peer.member, m_generations[peer.member]);
+            live.members.push_back({member, m_draining[peer.member]});
+        }
+    }
+    feed(KeeperEvent(std::move(live)));
+}
+
+void KeyController::feed(const KeyEvent& event) {
+    const Now now = ReadClocks();
+    const std::vector<KeyAction> actions = m_owner.step(event, now);
+    if (m_trace) {
+        m_trace->step(now, event, actions);
+    }
+    perform(actions);
+}
+
+void KeyController::perform(const std::vector<KeyAction>& actions) {
+    for (const KeyAction& action : actions) {
+        std::visit([this](const auto& a) { perform(a); }, action);
+    }
+}
+
+// ---- Requests ----
+
+void KeyController::onRun(const MemberId&, wire::RunRequestT request, RunSink sink) {
+    const uint64_t number = ++m_lastRequest;
+    KeyAsk ask;
+    ask.request = number;
+    ask.key = request.key;
+    ask.mintedAt = KeyMintTime(request.key).value_or(WallTime{});
+    const std::string body(request.body.begin(), request.body.end());
+    ask.digest = HashText(request.service + " " + request.method + " " + request.target + "\n" +
+                          body);
+    ask.deadline = ReadClocks().mono + request.deadline_in_ms;
+    Waiting& waiting = m_waiting[number];
+    waiting.askerId = request.id;
+    waiting.request = std::move(request);
+    waiting.sink = std::move(sink);
+    m_context.metrics.count("onyx_key_asks_total");
+    feed(ask);
+}
+
+void KeyController::perform(const RunKey& action) {
+    Spawn(m_context.executor, run(action));
+}
+
+Task<> KeyController::run(RunKey action) {
+    const auto snapshot = m_context.config.current();
+    const wire::RunRequestT request = m_waiting.at(action.request).request;
+    const MonoTime deadline = ReadClocks().mono + request.deadline_in_ms;
+    std::vector<EngineId> own;
+    std::vector<EngineId> other;
+    for (const auto& [id, engine] : snapshot->engines()) {
+        if (engine.service.value == request.service && m_home.usable(engine)) {
+            (engine.zone.value == m_context.settings.zone ? own : other).push_back(id);
+        }
+    }
+    std::vector<EngineId> candidates;
+    for (const auto* list : {&own, &other}) {
+        for (const uint32_t i : RendezvousOrder(ChatId(action.key), *list, list->size())) {
+            candidates.push_back((*list)[i]);
+        }
+    }
+    KeyDone done;
+    done.request = action.request;
+    done.state = KeyState::kNotRun;
+    for (const EngineId& candidate : candidates) {
+        const Now now = ReadClocks();
+        const Millis left = deadline - now.mono;
+        if (left <= 0 || !m_owner.mayDispatch(action.request, now)) {
+            break;
+        }
+        if (m_trace) {
+            m_trace->dispatched(now, action.request, action.key);
+        }
+        ServiceCall call;
+        call.service = snapshot->engine(candidate)->address;
+        call.upstreamId = m_context.nextUpstreamId();
+        call.method = request.method;
+        call.target = request.target;
+        call.contentType = request.content_type;
+        call.body.assign(request.body.begin(), request.body.end());
+        call.key = action.key;
+        call.timeout = left;
+        if (snapshot->service(ServiceId(request.service))->checksFence) {
+            call.fence = action.epoch;
+        }
+        const ServiceAnswer answer = co_await m_services.call(std::move(call));
+        if (!answer.written) {
+            continue;  // It never reached this replica: another one may have it.
+        }
+        done.state = answer.answered ? KeyState::kRan : KeyState::kUnknown;
+        done.status = answer.status;
+        done.contentType = answer.contentType;
+        done.body = answer.body;
+        break;
+    }
+    m_context.metrics.count("onyx_key_runs_total");
+    feed(done);
+}
+
+void KeyController::perform(const KeyRan& action) {
+    const auto node = m_waiting.extract(action.request);
+    if (node.empty()) {
+        return;
+    }
+    const Waiting& waiting = node.mapped();
+    if (!action.bodyKept) {
+        refuse(waiting, {RefusalReason::kAlreadyRan, RunOutcome::kRan, 0,
+                         "its answer was too large to keep"});
+        return;
+    }
+    wire::RunVerdictT verdict;
+    verdict.id = waiting.askerId;
+    verdict.verdict = wire::Verdict::Admitted;
+    SendTo(waiting.sink, std::move(verdict));
+    wire::RunChunkT chunk;
+    chunk.id = waiting.askerId;
+    chunk.data.assign(action.body.begin(), action.body.end());
+    SendTo(waiting.sink, std::move(chunk));
+    wire::RunEndT end;
+    end.id = waiting.askerId;
+    end.kind = wire::EndKind::Complete;
+    end.status = action.status;
+    end.content_type = action.contentType;
+    end.replayed = action.replayed;
+    SendTo(waiting.sink, std::move(end));
+}
+
+void KeyController::refuse(const Waiting& waiting, const Refusal& refusal) {
+    wire::RunVerdictT verdict;
+    verdict.id = waiting.askerId;
+    verdict.verdict = wire::Verdict::Refused;
+    verdict.reason = static_cast<uint8_t>(refusal.reason);
+    verdict.outcome = static_cast<uint8_t>(refusal.outcome);
+    verdict.retry_after_ms = refusal.retryAfter;
+    verdict.detail = refusal.detail;
+    SendTo(waiting.sink, std::move(verdict));
+}
+
+void KeyController::perform(const KeyRefused& action) {
+    const auto node = m_waiting.extract(action.request);
+    if (!node.empty()) {
+        refuse(node.mapped(), action.refusal);
+    }
+}
+
+void KeyController::perform(const KeyElsewhere& action) {
+    auto node = m_waiting.extract(action.request);
+    if (node.empty()) {
+        return;
+    }
+    const MemberId owner = ProcessOf(action.owner);
+    const bool again = node.mapped().request.attempt >= kMostForwards;
+    if (again || !m_table.isLive(owner, ReadClocks().mono)) {
+        refuse(node.mapped(), {RefusalReason::kOwnerAway, RunOutcome::kUnknown,
+                               again ? KeyOwner::kMovingRetry : kAwayRetry,
+                               "the key's owner cannot be reached"});
+        return;
+    }
+    Spawn(m_context.executor, forward(std::move(node.mapped()), owner));
+}
+
+// Passes a run on to the key's owner and its messages back.
+Task<> KeyController::forward(Waiting waiting, MemberId owner) {
+    wire::RunRequestT request = waiting.request;
+    request.id = m_peers.nextRunId();
+    ++request.attempt;
+    const uint64_t id = request.id;
+    const MonoTime end = ReadClocks().mono + request.deadline_in_ms;
+    const std::shared_ptr<RunChannel> channel = m_peers.open(owner, std::move(request));
+    bool over = false;
+    while (!over) {
+        const Millis left = std::max<Millis>(1, end - ReadClocks().mono);
+        RunMessage message = co_await channel->receive(left);
+        if (auto* verdict = std::get_if<wire::RunVerdictT>(&message)) {
+            over = verdict->verdict == wire::Verdict::Refused;
+            verdict->id = waiting.askerId;
+            SendTo(waiting.sink, std::move(*verdict));
+        } else if (auto* chunk = std::get_if<wire::RunChunkT>(&message)) {
+            chunk->id = waiting.askerId;
+            SendTo(waiting.sink, std::move(*chunk));
+        } else if (auto* done = std::get_if<wire::RunEndT>(&message)) {
+            over = true;
+            done->id = waiting.askerId;
+            SendTo(waiting.sink, std::move(*done));
+        } else {
+            over = true;
+            const Refusal lost{RefusalReason::kOwnerAway, RunOutcome::kUnknown, kAwayRetry,
+                               "lost the key's owner"};
+            refuse(waiting, lost);
+        }
+    }
+    m_peers.forget(id);
+}
+
+std::optional<MemberId> KeyController::route(const std::string& key, const ZoneId& zone) const {
+    const MonoTime now = ReadClocks().mono;
+    if (zone.value == m_context.settings.zone) {
+        const auto owner = m_owner.keeper().ownerOf(key);
+        if (!owner) {
+            return m_context.self;  // Says that there is no owner yet.
+        }
+        const MemberId process = ProcessOf(*owner);
+        return m_table.isLive(process, now) ? std::optional(process) : std::nullopt;
+    }
+    const std::vector<MemberId> live = m_table.live(zone, now);
+    return OwnerAmong(key, live);
+}
+
+// ---- The roster ----
+
+template <class Message>
+void KeyController::sendToMember(const MemberId& member, Message message) {
+    wire::BodyUnion body;
+    body.Set(std::move(message));
+    m_peers.send(ProcessOf(member), body);
+}
+
+void KeyController::perform(const SendLedger& action) {
+    sendToMember(action.to, ToMessage(action));
+}
+
+void KeyController::perform(const KeeperAction& action) {
+    if (const auto* ask = std::get_if<AskConsent>(&action)) {
+        wire::ConsentAskT message;
+        message.epoch = ask->epoch;
+        message.members = NamesOf(ask->members);
+        sendToMember(ask->to, std::move(message));
+    } else if (const auto* consent = std::get_if<AnswerConsent>(&action)) {
+        wire::ConsentReplyT message;
+        message.epoch = consent->epoch;
+        message.granted = consent->granted;
+        sendToMember(consent->to, std::move(message));
+    } else if (const auto* promise = std::get_if<AskPromise>(&action)) {
+        wire::PromiseAskT message;
+        message.round = promise->round;
+        message.epoch = promise->epoch;
+        sendToMember(promise->to, std::move(message));
+    } else if (const auto* given = std::get_if<AnswerPromise>(&action)) {
+        wire::PromiseReplyT message;
+        message.round = given->round;
+        message.epoch = given->epoch;
+        message.granted = given->granted;
+        sendToMember(given->to, std::move(message));
+    } else if (const auto* taken = std::get_if<EpochTaken>(&action)) {
+        m_peers.setRosterEpoch(taken->epoch);
+        logEvent(Event::kRosterChanged, {{"state", m_owner.keeper().describe(ReadClocks())}});
+    } else if (const auto* rejoined = std::get_if<Rejoined>(&action)) {
+        m_peers.setGeneration(static_cast<uint32_t>(m_owner.keeper().generation()));
+        logEvent(Event::kLeaseLost, {{"member", rejoined->member.value}, {"rejoins", "yes"}});
+    } else if (std::holds_alternative<LeftRoster>(action)) {
+        m_left = true;
+    } else {
+        callPlatform(action);
+    }
+}
+
+void KeyController::callPlatform(const KeeperAction& action) {
+    const std::string rosterPath = "/keys/roster/" + m_context.settings.zone;
+    wire::PlatformCallT message;
+    if (const auto* readRoster = std::get_if<ReadRoster>(&action)) {
+        message.path = rosterPath;
+        callRoster(readRoster->call, std::move(message));
+    } else if (const auto* writeRoster = std::get_if<WriteRoster>(&action)) {
+        message.op = wire::PlatformOp::Put;
+        message.path = rosterPath;
+        message.expect = writeRoster->expect;
+        message.value = RosterText(writeRoster->roster);
+        callRoster(writeRoster->call, std::move(message));
+    } else if (const auto* readLease = std::get_if<ReadLease>(&action)) {
+        message.path = LeasePath(readLease->box);
+        callLease(readLease->call, std::move(message));
+    } else if (const auto* writeLease = std::get_if<WriteLease>(&action)) {
+        if (writeLease->record.revoked) {
+            logEvent(Event::kTakeover, {{"of", writeLease->record.holder.value}});
+        }
+        message.op = wire::PlatformOp::Put;
+        message.path = LeasePath(writeLease->box);
+        message.expect = writeLease->expect;
+        message.value = LeaseText(writeLease->record);
+        callLease(writeLease->call, std::move(message));
+    }
+}
+
+void KeyController::callRoster(uint64_t call, wire::PlatformCallT message) {
+    m_agent.call(std::move(message), [this, call](const wire::PlatformReplyT& reply) {
+        const RosterReply event{call, StatusOf(reply.status), reply.version,
+                                RosterOf(reply.value)};
+        // Never from inside a step: the link may answer at once.
+        asio::post(m_context.executor, [this, event] { feed(KeeperEvent(event)); });
+    });
+}
+
+void KeyController::callLease(uint64_t call, wire::PlatformCallT message) {
+    m_agent.call(std::move(message), [this, call](const wire::PlatformReplyT& reply) {
+        const LeaseReply event{call, StatusOf(reply.status), reply.version, LeaseOf(reply.value)};
+        asio::post(m_context.executor, [this, event] { feed(KeeperEvent(event)); });
+    });
+}
+
+void KeyController::onMessage(const MemberId& from, wire::BodyUnion& body) {
+    const MemberId member = WithGeneration(from, m_generations[from]);
+    if (const auto* ask = body.AsConsentAsk()) {
+        feed(KeeperEvent(ConsentAsked{member, ask->epoch, MembersOf(ask->members)}));
+    } else if (const auto* reply = body.AsConsentReply()) {
+        feed(KeeperEvent(ConsentAnswered{member, reply->epoch, reply->granted}));
+    } else if (const auto* promise = body.AsPromiseAsk()) {
+        feed(KeeperEvent(PromiseAsked{member, promise->round, promise->epoch}));
+    } else if (const auto* given = body.AsPromiseReply()) {
+        feed(KeeperEvent(PromiseAnswered{member, given->round, given->epoch, given->granted}));
+    } else if (const auto* handover = body.AsHandover()) {
+        feed(FromMessage(member, *handover));
+    }
+}
+
+void KeyController::onDigest(const MemberId& from, const wire::DigestT& digest) {
+    m_generations[from] = digest.generation;
+    m_draining[from] = digest.draining;
+    const auto& reachable = m_table.reachable(ReadClocks().mono);
+    for (const PeerInfo& peer : reachable) {
+        const bool sameZone = peer.zone.value == m_context.settings.zone;
+        if (peer.member == from && sameZone &&
+            digest.roster_epoch > m_owner.keeper().roster().epoch) {
+            feed(KeeperEvent(EpochSeen{digest.roster_epoch}));
+        }
+    }
+}
+
+void KeyController::onBoxes(std::set<std::string> names) {
+    feed(KeeperEvent(BoxesListed{std::move(names)}));
+}
+
+void KeyController::leave() {
+    feed(KeeperEvent(LeaveRoster{}));
+}
+
+bool KeyController::left() const {
+    return m_left && m_owner.inFlight() == 0;
+}
+
+}  // namespace onyx
--- a/src/router/PeerController.cpp
+++ b/src/router/PeerController.cpp
@@ -151,6 +151,7 @@
     digest.config_revision = m_context.config.revision();
     digest.draining = m_context.draining;
     digest.roster_epoch = m_rosterEpoch;
+    digest.generation = m_generation;
     for (const EngineLoad& load : m_home.loads()) {
         digest.loads.emplace_back(static_cast<uint32_t>(HashText(load.engine.value)),
                                   static_cast<uint16_t>(std::min(load.load, 65535)), load.full);
--- a/src/router/Router.cpp
+++ b/src/router/Router.cpp
@@ -2,6 +2,7 @@
 
 #include "include/observe/Events.h"
 #include "include/router/Filters.h"
+#include "include/router/KeyedCall.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,26 +15,31 @@
 constexpr Millis kDrainQuiet = 300;  // Peers learn of the drain before the links close.
 constexpr Millis kComeBackSoon = 1000;
 
-// A box's life: its name and when this process started.
-MemberId MakeMember(const std::string& box) {
-    return MemberId(box + "#" + std::to_string(ReadClocks().wall.ms));
-}
-
 }  // namespace
 
 Router::Router(asio::io_context& io, RouterSettings settings, Tcp::acceptor acceptor)
     : m_io(io),
       m_context(io.get_executor(), std::move(settings)),
       m_acceptor(std::move(acceptor)),
-      m_table({MakeMember(m_context.settings.box), ZoneId(m_context.settings.zone),
+      m_table({m_context.self, ZoneId(m_context.settings.zone),
                m_context.settings.advertised},
               m_context.settings.peerTimeout),
       m_home(m_context, m_table),
       m_peers(m_context, m_table, m_home),
       m_agent(m_context),
+      m_keys(m_context, m_table, m_peers, m_home, m_agent),
       m_retries(m_context.settings.retryShare),
       m_dispatch{m_peers, m_table, m_home, m_retries} {
-    m_context.self = m_table.self().member;
+    m_peers.setOnKeyed([this](const MemberId& asker, wire::RunRequestT request, RunSink sink) {
+        m_keys.onRun(asker, std::move(request), std::move(sink));
+    });
+    m_peers.setOnMessage([this](const MemberId& from, wire::BodyUnion& body) {
+        m_keys.onMessage(from, body);
+    });
+    m_peers.setOnDigest([this](const MemberId& from, const wire::DigestT& digest) {
+        m_keys.onDigest(from, digest);
+    });
+    m_agent.setOnBoxes([this](const wire::BoxListT& list) { onBoxes(list); });
 }
 
 Result<std::unique_ptr<Router>> Router::Make(asio::io_context& io, RouterSettings settings) {
@@ -70,9 +76,9 @@
     }
     router->m_callers = std::move(callerServer).value();
     router->m_metricsServer = std::move(metricsServer).value();
-    router->m_agent.setOnBoxes([&self](const wire::BoxListT& list) { self.onBoxes(list); });
     router->m_home.start();
     router->m_peers.start();
+    router->m_keys.start();
     Spawn(io.get_executor(), router->acceptLinks());
     return router;
 }
@@ -104,7 +110,9 @@
 void Router::onBoxes(const wire::BoxListT& list) {
     std::map<std::string, std::string> addresses;
     std::set<std::string> leaving;
+    std::set<std::string> names;
     for (const auto& box : list.boxes) {
+        names.insert(box->box);
         if (!box->address.empty()) {
             addresses[box->address] = box->box;
         }
@@ -117,6 +125,7 @@
     }
     m_peers.setListed(std::move(addresses));
     m_home.setListedLeaving(std::move(leaving));
+    m_keys.onBoxes(std::move(names));
 }
 
 Task<> Router::handleCall(HttpExchange& exchange) {
@@ -150,6 +159,10 @@
 }
 
 Task<CallResult> Router::dispatch(CallContext& call) {
+    if (!call.key.empty()) {
+        KeyedCall keyed(m_context, m_dispatch, m_keys, call);
+        co_return co_await keyed.serve();
+    }
     PlacedCall placed(m_context, m_dispatch, call);
     co_return co_await placed.serve();
 }
@@ -181,6 +194,11 @@
     for (const EngineLoad& load : m_home.loads()) {
         metrics.set("onyx_engine_load", {{"engine", load.engine.value}}, load.load);
     }
+    const KeyOwner& owner = m_keys.owner();
+    const bool lease = owner.keeper().leaseValid(ReadClocks());
+    metrics.set("onyx_roster_epoch", {}, static_cast<double>(owner.keeper().roster().epoch));
+    metrics.set("onyx_lease_valid", {}, lease ? 1 : 0);
+    metrics.set("onyx_ledger_keys", {}, static_cast<double>(owner.ledger().size()));
     return metrics.text();
 }
 
@@ -213,8 +231,10 @@
     m_home.refreshHomes();
     m_peers.sendDigests();
     const MonoTime limit = ReadClocks().mono + m_context.settings.drainLimit;
+    m_keys.leave();
     co_await SleepFor(kDrainQuiet);
-    while (ReadClocks().mono < limit && (m_home.active() > 0 || m_callers->active() > 0)) {
+    while (ReadClocks().mono < limit &&
+           (m_home.active() > 0 || m_callers->active() > 0 || !m_keys.left())) {
         co_await SleepFor(kDrainStep);
     }
     logEvent(Event::kDrainDone, {{"left", std::to_string(m_home.active() + m_callers->active())}});
