--- a/include/net/Program.h
+++ b/include/net/Program.h
@@ -23,7 +23,7 @@
 
 // Reads `path`, lets `read` ask for the keys, and reports problems on standard error; true if the
 // file is good. Thread safety: none.
-bool LoadSettings(const std::string& path, const std::function<void(SettingsReader&)>& read);
+bool ReadSettingsFile(const std::string& path, const std::function<void(SettingsReader&)>& read);
 
 // Runs `io` until it is stopped. The first SIGTERM or SIGINT calls `onStop` (which must see to it
 // that the context stops), the second stops at once. Preconditions: none. Thread safety: none.
--- a/src/net/Program.cpp
+++ b/src/net/Program.cpp
@@ -14,7 +14,7 @@
     return error.code == ErrorCode::kBadInput ? kExitBadInput : kExitFailed;
 }
 
-bool LoadSettings(const std::string& path, const std::function<void(SettingsReader&)>& read) {
+bool ReadSettingsFile(const std::string& path, const std::function<void(SettingsReader&)>& read) {
     auto reader = SettingsReader::MakeFromFile(path);
     if (reader.has_error()) {
         FailWith(reader.error());
--- a/tools/onyx-admin.cpp
+++ b/tools/onyx-admin.cpp
@@ -33,7 +33,7 @@
         settings.listen = reader.address("listen.operators");
         settings.logLevel = reader.text("log.level", "info");
     };
-    if (!LoadSettings(path, read)) {
+    if (!ReadSettingsFile(path, read)) {
         return kExitBadInput;
     }
     if (check) {
--- a/tools/onyx-agent.cpp
+++ b/tools/onyx-agent.cpp
@@ -17,7 +17,7 @@
     CLI11_PARSE(app, argc, argv);
 
     AgentSettings settings;
-    if (!LoadSettings(path, [&](SettingsReader& r) { settings = AgentSettings::Read(r); })) {
+    if (!ReadSettingsFile(path, [&](SettingsReader& r) { settings = AgentSettings::Read(r); })) {
         return kExitBadInput;
     }
     if (check) {
--- a/tools/onyx-router.cpp
+++ b/tools/onyx-router.cpp
@@ -17,7 +17,7 @@
     CLI11_PARSE(app, argc, argv);
 
     RouterSettings settings;
-    if (!LoadSettings(path, [&](SettingsReader& r) { settings = RouterSettings::Read(r); })) {
+    if (!ReadSettingsFile(path, [&](SettingsReader& r) { settings = RouterSettings::Read(r); })) {
         return kExitBadInput;
     }
     if (check) {
