Order chats over the site, admit short of the bound, sample the digests

A chat comes back through any zone's box, so its prefix is split over three zones. A digest to 16 boxes is as good as one to all at today's size, since balanced loads sample well. A peer that promised no heartbeat lives until its link breaks or a hop to it times out.

--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -5,6 +5,7 @@
 #include "bench/PolicyBench/PolicyTrace.h"
 
 #include "include/base/Hash.h"
+#include "include/membership/DigestTargets.h"
 #include "include/placement/EntryPlacement.h"
 #include "include/placement/HomeAdmission.h"
 #include "include/placement/RendezvousOrder.h"
@@ -26,9 +27,11 @@
 
 struct PolicySettings {
     double multiple = 1.25;
+    double headroom = 0.6;
     int floor = 2;
     Millis digestPeriod = 250;
-    int64_t digestBudget = 1000;
+    int64_t digestBudget = 800;
+    size_t digestPeers = 16;  // Boxes that get this box's digest.
     Millis reportLag = 1000;
     bool notes = true;
     bool siteOrder = true;  // Order over the site's engines, or the entry's zone first.
@@ -122,7 +125,7 @@
         } else {
             const int floor = m_kind == Alone::kLocalBound ? 1 : m_settings.floor;
             const double mean = (total + 1) / static_cast<double>(usable.size());
-            const BoundSettings bound{m_settings.multiple, floor, 1 << 20};
+            const BoundSettings bound{m_settings.multiple, 1.0, floor, 1 << 20};
             for (const uint16_t engine : usable) {
                 if (load(arrival, engine) < AllowedInFlight(bound, mean)) {
                     chosen = engine;
@@ -175,18 +178,21 @@
                 RendezvousWinner<MemberId>(m_names[static_cast<size_t>(engine)].value, boxes);
             const uint16_t box = numbers[static_cast<size_t>(winner)];
             m_homeOf.push_back(box);
-            const BoundSettings bound{settings.multiple, settings.floor, 1 << 20};
+            const BoundSettings bound{settings.multiple, settings.headroom, settings.floor, 1 << 20};
             homed[box].push_back({m_names[static_cast<size_t>(engine)], kModel, bound});
         }
         for (size_t i = 0; i < m_homes.size(); ++i) {
             m_homes[i]->setEngines(homed[i], {0});
         }
+        for (size_t i = 0; i < m_homes.size(); ++i) {
+            m_targets.push_back(peersOf(i));
+        }
     }
 
     PolicyFigures run(const char* name) {
         size_t next = 0;
         size_t flap = 0;
-        const size_t peers = peersOf(0).size();
+        const size_t peers = m_targets[0].size();
         const Millis period =
             DigestPeriod(m_settings.digestPeriod, peers, digestBytes(0), m_settings.digestBudget);
         for (Millis now = 0; now < m_trace.settings.length; ++now) {
@@ -237,12 +243,18 @@
 
     std::vector<size_t> peersOf(size_t box) const {
         std::vector<size_t> peers;
+        std::vector<MemberId> members;
         for (size_t other = 0; other < m_homes.size(); ++other) {
             if (sharesDigests(box, other)) {
                 peers.push_back(other);
+                members.push_back(m_members[other]);
             }
         }
-        return peers;
+        std::vector<size_t> chosen;
+        for (const size_t i : DigestTargets(m_members[box], members, m_settings.digestPeers)) {
+            chosen.push_back(peers[i]);
+        }
+        return chosen;
     }
 
     size_t digestBytes(size_t box) const {
@@ -258,7 +270,7 @@
         const auto loads = m_homes[box]->loads({now});
         const auto bytes = static_cast<double>(digestBytes(box));
         ++m_sequence;
-        for (const size_t peer : peersOf(box)) {
+        for (const size_t peer : m_targets[box]) {
             m_controlBytes += bytes;
             perform(m_homes[peer]->digest(m_members[box], m_sequence, loads, {now}), now);
         }
@@ -329,7 +341,7 @@
             const auto actions = m_homes[home]->ask(admit, {now});
             const HomeAction& verdict = actions.front();
             if (std::holds_alternative<Full>(verdict) || std::holds_alternative<GoTo>(verdict)) {
-                m_controlBytes += kVerdictBytes;
+                m_controlBytes += verdictBytes();
             }
             if (const auto* goTo = std::get_if<GoTo>(&verdict)) {
                 placement.goTo(goTo->engine);
@@ -343,10 +355,10 @@
             }
             perform(actions, now);
             if (const auto* admitted = std::get_if<Admitted>(&verdict)) {
-                if (admitted->engine != placement.firstChoice() && m_settings.notes) {
+                if (placement.needsNote(admitted->engine) && m_settings.notes) {
                     const uint16_t first = m_homeOf[m_index.at(placement.firstChoice())];
                     m_homes[first]->note(chat, admitted->engine, {now});
-                    m_controlBytes += kNoteBytes;
+                    m_controlBytes += noteBytes();
                 }
             }
             return;
@@ -372,8 +384,18 @@
         }
     }
 
-    static constexpr double kVerdictBytes = 60;
-    static constexpr double kNoteBytes = 80;
+    // Sizes of the real frames.
+    static double verdictBytes() {
+        static const auto kBytes = static_cast<double>(EncodeMessage(wire::RunVerdictT()).size());
+        return kBytes;
+    }
+    static double noteBytes() {
+        wire::ChatNoteT note;
+        note.chat = "chat-00000000";
+        note.engine = "engine000";
+        static const auto kBytes = static_cast<double>(EncodeMessage(note).size());
+        return kBytes;
+    }
 
     const PolicyTrace& m_trace;
     PolicySettings m_settings;
@@ -383,6 +405,7 @@
     std::vector<std::unique_ptr<HomeAdmission>> m_homes;
     std::vector<MemberId> m_members;
     std::vector<uint16_t> m_homeOf;
+    std::vector<std::vector<size_t>> m_targets;  // Of each box's digests.
     Endings m_endings;
     std::vector<Millis> m_quietWaits;
     uint64_t m_sequence = 0;
@@ -427,25 +450,39 @@
     Print(HomesPolicy(trace, variant).run("homes, site order, no notes"));
     variant.notes = true;
     Print(HomesPolicy(trace, variant).run("homes, site order, notes"));
+    variant.skipFull = false;
+    Print(HomesPolicy(trace, variant).run("the same, full engines asked"));
 }
 
 void Vary(const TraceSettings& settings, const PolicySettings& policy) {
     const PolicyTrace trace = MakeTrace(settings);
     PrintHead(settings, trace.arrivals.size());
+    for (const double headroom : {0.2, 0.4, 0.6, 0.8, 1.0}) {
+        PolicySettings variant = policy;
+        variant.headroom = headroom;
+        const std::string name = "homes, headroom " + std::to_string(headroom).substr(0, 3);
+        Print(HomesPolicy(trace, variant).run(name.c_str()));
+    }
+    for (const size_t peers : {4, 8, 16, 32, 64}) {
+        PolicySettings variant = policy;
+        variant.digestPeers = peers;
+        const std::string name = "homes, digests to " + std::to_string(peers);
+        Print(HomesPolicy(trace, variant).run(name.c_str()));
+    }
     for (const double multiple : {1.1, 1.25, 1.5, 2.0}) {
         PolicySettings variant = policy;
         variant.multiple = multiple;
         const std::string name = "homes, c = " + std::to_string(multiple).substr(0, 4);
         Print(HomesPolicy(trace, variant).run(name.c_str()));
     }
-    for (const Millis period : {100, 250, 1000, 3000, 10000}) {
+    for (const Millis period : {250, 1000, 3000, 10000}) {
         PolicySettings variant = policy;
         variant.digestPeriod = period;
         variant.digestBudget = 1 << 30;
         const std::string name = "homes, digests every " + std::to_string(period) + " ms";
         Print(HomesPolicy(trace, variant).run(name.c_str()));
     }
-    for (const Millis lag : {0, 500, 1000, 2000, 4000}) {
+    for (const Millis lag : {0, 1000, 2000, 4000}) {
         PolicySettings variant = policy;
         variant.reportLag = lag;
         const std::string name =
@@ -468,6 +505,7 @@
     app.add_option("--rate", today.requestsPerSecond, "Requests a second");
     app.add_option("--seconds", seconds, "Length of the trace");
     app.add_option("--seed", today.seed, "Seed of the trace");
+    app.add_option("--multiple", policy.multiple, "c of the load bound");
     app.add_option("--surge", today.surge, "Factor on one team's rate in the middle fifth");
     CLI11_PARSE(app, argc, argv);
     if (target) {
--- a/bench/PolicyBench/PolicySite.cpp
+++ b/bench/PolicyBench/PolicySite.cpp
@@ -72,7 +72,7 @@
     }
     const double mean = engines == 0 ? 0 : total / engines;
     m_skews.push_back(mean > 0 ? most / mean : 1);
-    const BoundSettings bound{multiple, floor, 1 << 20};
+    const BoundSettings bound{multiple, 1.0, floor, 1 << 20};
     m_over += most > AllowedInFlight(bound, mean) ? 1 : 0;
 }
 
--- a/include/membership/PeerTable.h
+++ b/include/membership/PeerTable.h
@@ -22,15 +22,22 @@
 // Not thread safe: one task owns it.
 class PeerTable {
 public:
-    // `timeout`: a peer that was not heard for longer is not live. Preconditions: timeout > 0.
+    // `timeout`: least silence after which a peer that promised heartbeats is not live.
+    // Preconditions: timeout > 0.
     PeerTable(PeerInfo self, Millis timeout);
 
     // A peer greeted us. A new incarnation at the same address replaces the old. Preconditions:
     // none.
     void greeted(const PeerInfo& peer, MonoTime now);
 
-    // A heartbeat came. One from a member that never greeted is ignored. Preconditions: none.
-    void heard(const MemberId& member, bool draining, MonoTime now);
+    // A heartbeat came, and the next is due within `next`; 0: the peer promises none, and is live
+    // as long as its link stands and nobody suspects it. One from a member that never greeted is
+    // ignored. Preconditions: none.
+    void heard(const MemberId& member, bool draining, Millis next, MonoTime now);
+
+    // The peer did not answer in time: it is not live until it is heard again or greets anew.
+    // Preconditions: none.
+    void suspect(const MemberId& member);
 
     // The link to the peer broke: it is not live until it greets again. Preconditions: none.
     void lost(const MemberId& member);
@@ -64,6 +71,8 @@
         MonoTime heardAt;
         bool draining = false;
         bool linked = false;
+        bool suspected = false;
+        Millis next = 0;
     };
 
     bool fresh(const Peer& peer, MonoTime now) const;
--- a/include/placement/ChatIndex.h
+++ b/include/placement/ChatIndex.h
@@ -22,8 +22,9 @@
     // Remembers that `chat` was served by `engine`. Preconditions: none.
     void put(const ChatId& chat, const EngineId& engine, MonoTime now);
 
-    // The engine that served `chat`, if it is remembered and not too old. Preconditions: none.
-    std::optional<EngineId> find(const ChatId& chat, MonoTime now) const;
+    // The engine that served `chat`, if it is remembered and not too old; it counts as used now.
+    // Preconditions: none.
+    std::optional<EngineId> find(const ChatId& chat, MonoTime now);
 
     // Forgets `chat`. Preconditions: none.
     void erase(const ChatId& chat);
--- a/include/placement/EntryPlacement.h
+++ b/include/placement/EntryPlacement.h
@@ -14,7 +14,7 @@
 // An engine that may serve the request, in the chat's order.
 struct EngineChoice {
     EngineId engine;
-    bool ownZone = true;
+    bool near = true;       // Asked before those that are not.
     bool saidFull = false;  // Its home's last digest said so: a hint, not a verdict.
 };
 
@@ -34,8 +34,8 @@
     explicit EntryPlacement(std::vector<EngineChoice> choices);
 
     // The next engine to ask, or nothing: give up. The first choice is asked first even if it is
-    // said to be full, since its home may know where the chat went; then the others of the own
-    // zone, then other zones; last, the first choice again with leave to queue.
+    // said to be full, since its home may know where the chat went; then the other near
+    // ones, then the far ones; last, the first choice again with leave to queue.
     // Preconditions: the last ask was answered by goTo(), exclude(), or by "full".
     std::optional<PlacementAsk> next();
 
@@ -49,19 +49,26 @@
     // least one choice.
     const EngineId& firstChoice() const { return m_choices.front().engine; }
 
+    // Whether the first home must be told that `engine` served the chat: it did not say so itself.
+    // Preconditions: at least one choice.
+    bool needsNote(const EngineId& engine) const {
+        return engine != firstChoice() && engine != m_pointedTo;
+    }
+
     // Homes asked so far. Preconditions: none.
     int asks() const { return m_asks; }
 
 private:
-    enum class Phase { kFirst, kOwnZone, kOtherZones, kQueue, kDone };
+    enum class Phase { kFirst, kNear, kFar, kQueue, kDone };
 
     std::optional<PlacementAsk> ask(const EngineId& engine, bool followNote, bool mayQueue);
-    std::optional<PlacementAsk> nextIn(bool ownZone);
+    std::optional<PlacementAsk> nextIn(bool near);
 
     std::vector<EngineChoice> m_choices;
     std::set<EngineId> m_asked;
     std::set<EngineId> m_excluded;
     std::optional<EngineId> m_noted;
+    EngineId m_pointedTo;  // What the first home's note said.
     Phase m_phase = Phase::kFirst;
     int m_asks = 0;
 };
--- a/include/placement/HomeAdmission.h
+++ b/include/placement/HomeAdmission.h
@@ -120,8 +120,8 @@
     // The loads of the engines homed here, for the digest. Preconditions: none.
     std::vector<EngineLoad> loads(MonoTime now) const;
 
-    // Load over the zone's engines as known here. Preconditions: none.
-    ZoneTotal total(MonoTime now) const { return m_zone.total(loads(now), now); }
+    // Load over the engines as known here, this box's and those of fresh digests. Preconditions: none.
+    ZoneTotal total(MonoTime now) const { return m_zone.total(counts(), now); }
 
     // What the zone's digests say; for skipping full engines. Preconditions: none.
     const ZoneLoads& zone() const { return m_zone; }
@@ -154,6 +154,7 @@
         bool preempted = false;
     };
 
+    std::vector<EngineLoad> counts() const;
     int allowed(const Engine& engine, double mean, MonoTime now) const;
     bool hasRoom(const Engine& engine, double mean, MonoTime now) const;
     Admitted admit(Engine& engine, Ticket ticket, Priority priority, MonoTime now);
--- a/include/router/PeerController.h
+++ b/include/router/PeerController.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace onyx {
@@ -78,7 +79,15 @@
     uint64_t controlBytesSent() const { return m_controlBytes; }
 
     // Sends a digest to all peers now, so that they learn of a drain. Preconditions: none.
-    void sendDigests();
+    void sendDigestToAll();
+
+    // Boxes that must get this box's digests besides the sample: the zone's key owners.
+    // Preconditions: none.
+    void setDigestAlways(std::set<MemberId> members) { m_digestAlways = std::move(members); }
+
+    // No word from `member` in time: work goes elsewhere until it is heard again. Preconditions:
+    // none.
+    void suspect(const MemberId& member);
 
 private:
     struct Dialed {
@@ -90,6 +99,8 @@
     Task<> dialLoop();
     Task<> dial(std::string address);
     Task<> digestLoop();
+    std::set<MemberId> digestTargets() const;
+    void sendDigest(FrameLink& link, Millis next);
     void onFrame(const std::shared_ptr<FrameLink>& link, wire::BodyUnion& body);
     void onRunRequest(const std::shared_ptr<FrameLink>& link, wire::RunRequestT request);
     void onDigest(const MemberId& box, const wire::DigestT& digest);
@@ -110,6 +121,8 @@
     OnKeyed m_onKeyed;
     OnMessage m_onMessage;
     OnDigest m_onDigest;
+    std::set<MemberId> m_digestAlways;
+    std::set<MemberId> m_digestTargets;
     uint64_t m_lastRun = 0;
     uint64_t m_digestSequence = 0;
     uint64_t m_rosterEpoch = 0;
--- a/include/router/RouterSettings.h
+++ b/include/router/RouterSettings.h
@@ -23,7 +23,8 @@
     std::string record;               // File to record decision events in; empty: none.
 
     Millis digestPeriod = 250;
-    int64_t digestBudget = 1000;      // Bytes a second for digests; stretches the period.
+    int64_t digestBudget = 800;       // Bytes a second for digests; stretches the period.
+    int64_t digestPeers = 16;         // Boxes that get this box's digest.
     Millis peerTimeout = 1500;
     Millis loadPollPeriod = 500;
     Millis hopTimeout = 1000;         // For a home's verdict.
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -17,15 +17,26 @@
     entry.info = peer;
     entry.heardAt = now;
     entry.linked = true;
+    entry.suspected = false;
+    entry.next = 0;
 }
 
-void PeerTable::heard(const MemberId& member, bool draining, MonoTime now) {
+void PeerTable::suspect(const MemberId& member) {
+    const auto it = m_peers.find(member);
+    if (it != m_peers.end()) {
+        it->second.suspected = true;
+    }
+}
+
+void PeerTable::heard(const MemberId& member, bool draining, Millis next, MonoTime now) {
     const auto it = m_peers.find(member);
     if (it == m_peers.end()) {
         return;
     }
     it->second.heardAt = now;
     it->second.draining = draining;
+    it->second.suspected = false;
+    it->second.next = next;
 }
 
 void PeerTable::lost(const MemberId& member) {
@@ -36,7 +47,10 @@
 }
 
 bool PeerTable::fresh(const Peer& peer, MonoTime now) const {
-    return peer.linked && now - peer.heardAt <= m_timeout;
+    constexpr Millis kMissedHeartbeats = 3;
+    const Millis patience = std::max(m_timeout, kMissedHeartbeats * peer.next);
+    const bool silent = peer.next > 0 && now - peer.heardAt > patience;
+    return peer.linked && !peer.suspected && !silent;
 }
 
 std::vector<MemberId> PeerTable::live(const ZoneId& zone, MonoTime now) const {
--- a/src/placement/ChatIndex.cpp
+++ b/src/placement/ChatIndex.cpp
@@ -17,11 +17,13 @@
     m_entries.emplace(key, Entry{engine, now, m_recent.begin()});
 }
 
-std::optional<EngineId> ChatIndex::find(const ChatId& chat, MonoTime now) const {
+std::optional<EngineId> ChatIndex::find(const ChatId& chat, MonoTime now) {
     const auto it = m_entries.find(HashText(chat.value));
     if (it == m_entries.end() || now - it->second.at > m_maxAge) {
         return std::nullopt;
     }
+    it->second.at = now;
+    m_recent.splice(m_recent.begin(), m_recent, it->second.position);
     return it->second.engine;
 }
 
--- a/src/placement/EntryPlacement.cpp
+++ b/src/placement/EntryPlacement.cpp
@@ -12,11 +12,11 @@
     return PlacementAsk{engine, followNote, mayQueue};
 }
 
-std::optional<PlacementAsk> EntryPlacement::nextIn(bool ownZone) {
+std::optional<PlacementAsk> EntryPlacement::nextIn(bool near) {
     for (const EngineChoice& choice : m_choices) {
         const bool skipped = choice.saidFull || m_asked.contains(choice.engine) ||
                              m_excluded.contains(choice.engine);
-        if (choice.ownZone == ownZone && !skipped && m_asks < kMostAsks) {
+        if (choice.near == near && !skipped && m_asks < kMostAsks) {
             return ask(choice.engine, false, false);
         }
     }
@@ -30,18 +30,18 @@
         return ask(noted, false, false);
     }
     if (m_phase == Phase::kFirst) {
-        m_phase = Phase::kOwnZone;
+        m_phase = Phase::kNear;
         if (!m_choices.empty() && !m_excluded.contains(m_choices.front().engine)) {
             return ask(m_choices.front().engine, true, false);
         }
     }
-    if (m_phase == Phase::kOwnZone) {
+    if (m_phase == Phase::kNear) {
         if (auto next = nextIn(true)) {
             return next;
         }
-        m_phase = Phase::kOtherZones;
+        m_phase = Phase::kFar;
     }
-    if (m_phase == Phase::kOtherZones) {
+    if (m_phase == Phase::kFar) {
         if (auto next = nextIn(false)) {
             return next;
         }
@@ -60,6 +60,7 @@
 }
 
 void EntryPlacement::goTo(const EngineId& engine) {
+    m_pointedTo = engine;
     const bool listed = !m_asked.contains(engine) && !m_excluded.contains(engine);
     if (listed) {
         m_noted = engine;
--- a/src/placement/HomeAdmission.cpp
+++ b/src/placement/HomeAdmission.cpp
@@ -54,7 +54,7 @@
 }
 
 int HomeAdmission::allowed(const Engine& engine, double mean, MonoTime now) const {
-    const int bound = AllowedInFlight(engine.info.bound, mean);
+    const int bound = AdmittedInFlight(engine.info.bound, mean);
     const bool settling = !engine.reported && now - engine.gainedAt < m_settings.gainSettle;
     // Another home may still be admitting to a newly gained engine, so the first steps are small.
     return settling ? std::min(bound, m_settings.gainStep) : bound;
@@ -64,15 +64,22 @@
     return !engine.leaving && engine.inFlight + engine.foreign < allowed(engine, mean, now);
 }
 
-std::vector<EngineLoad> HomeAdmission::loads(MonoTime) const {
+std::vector<EngineLoad> HomeAdmission::counts() const {
     std::vector<EngineLoad> loads;
     loads.reserve(m_engines.size());
     for (const auto& [id, engine] : m_engines) {
-        if (engine.leaving) {
-            continue;
+        if (!engine.leaving) {
+            loads.push_back({id, engine.inFlight + engine.foreign, false});
         }
-        const int load = engine.inFlight + engine.foreign;
-        loads.push_back({id, load, load >= engine.info.bound.capacity});
+    }
+    return loads;
+}
+
+std::vector<EngineLoad> HomeAdmission::loads(MonoTime now) const {
+    std::vector<EngineLoad> loads = counts();
+    const double mean = m_zone.total(loads, now).mean(1);
+    for (EngineLoad& load : loads) {
+        load.full = !hasRoom(m_engines.at(load.engine), mean, now);
     }
     return loads;
 }
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -437,6 +437,11 @@
         sendToMember(given->to, std::move(message));
     } else if (const auto* taken = std::get_if<EpochTaken>(&action)) {
         m_peers.setRosterEpoch(taken->epoch);
+        std::set<MemberId> processes;
+        for (const MemberId& member : m_owner.keeper().roster().members) {
+            processes.insert(ProcessOf(member));
+        }
+        m_peers.setDigestAlways(std::move(processes));
         logEvent(Event::kRosterChanged, {{"state", m_owner.keeper().describe(ReadClocks())}});
     } else if (const auto* rejoined = std::get_if<Rejoined>(&action)) {
         m_peers.setGeneration(static_cast<uint32_t>(m_owner.keeper().generation()));
--- a/src/router/PeerController.cpp
+++ b/src/router/PeerController.cpp
@@ -1,6 +1,7 @@
 #include "include/router/PeerController.h"
 
 #include "include/base/Hash.h"
+#include "include/membership/DigestTargets.h"
 #include "include/observe/Events.h"
 
 #include <algorithm>
@@ -159,12 +160,36 @@
     return digest;
 }
 
-void PeerController::sendDigests() {
-    const std::string frame = EncodeMessage(digest());
+void PeerController::sendDigest(FrameLink& link, Millis next) {
+    wire::DigestT message = digest();
+    message.next_ms = static_cast<uint32_t>(next);
+    std::string frame = EncodeMessage(std::move(message));
+    m_controlBytes += frame.size();
+    link.sendEncoded(std::move(frame));
+}
+
+void PeerController::sendDigestToAll() {
+    for (const auto& [member, link] : m_links) {
+        sendDigest(*link, 0);
+    }
+}
+
+std::set<MemberId> PeerController::digestTargets() const {
+    std::vector<MemberId> members;
     for (const auto& [member, link] : m_links) {
-        link->sendEncoded(frame);
-        m_controlBytes += frame.size();
+        members.push_back(member);
+    }
+    std::set<MemberId> targets;
+    const auto most = static_cast<size_t>(m_context.settings.digestPeers);
+    for (const size_t i : DigestTargets(m_context.self, members, most)) {
+        targets.insert(members[i]);
     }
+    for (const MemberId& member : m_digestAlways) {
+        if (m_links.contains(member)) {
+            targets.insert(member);
+        }
+    }
+    return targets;
 }
 
 Task<> PeerController::digestLoop() {
@@ -173,16 +198,32 @@
         co_await SleepFor(kCheckPeriod);
         sinceDigest += kCheckPeriod;
         checkHomes();
+        const std::set<MemberId> targets = digestTargets();
         const size_t bytes = EncodeMessage(digest()).size();
-        const Millis period = DigestPeriod(m_context.settings.digestPeriod, m_links.size(), bytes,
+        const Millis period = DigestPeriod(m_context.settings.digestPeriod, targets.size(), bytes,
                                            m_context.settings.digestBudget);
-        if (sinceDigest >= period) {
-            sinceDigest = 0;
-            sendDigests();
+        if (sinceDigest < period) {
+            continue;
+        }
+        sinceDigest = 0;
+        for (const MemberId& member : m_digestTargets) {
+            const auto link = m_links.find(member);
+            if (!targets.contains(member) && link != m_links.end()) {
+                sendDigest(*link->second, 0);  // The last one: nothing more is promised.
+            }
+        }
+        m_digestTargets = targets;
+        for (const MemberId& member : targets) {
+            sendDigest(*m_links.at(member), period + kCheckPeriod);
         }
     }
 }
 
+void PeerController::suspect(const MemberId& member) {
+    m_table.suspect(member);
+    checkHomes();
+}
+
 void PeerController::onFrame(const std::shared_ptr<FrameLink>& link, wire::BodyUnion& body) {
     const MemberId member(link->peer().box);
     if (onRunMessage(body)) {
@@ -244,7 +285,7 @@
 
 void PeerController::onDigest(const MemberId& box, const wire::DigestT& digest) {
     const MonoTime now = ReadClocks().mono;
-    m_table.heard(box, digest.draining, now);
+    m_table.heard(box, digest.draining, digest.next_ms, now);
     m_home.digest(box, digest);
     if (m_onDigest) {
         m_onDigest(box, digest);
--- a/src/router/PlacedCall.cpp
+++ b/src/router/PlacedCall.cpp
@@ -37,21 +37,32 @@
 }
 
 std::vector<EngineChoice> PlacedCall::choices() const {
-    std::vector<EngineId> own;
-    std::vector<EngineId> other;
+    const MonoTime now = ReadClocks().mono;
+    const ZoneId ownZone(m_context.settings.zone);
+    std::map<ZoneId, bool> reachable;
+    std::vector<EngineId> near;
+    std::vector<EngineId> far;
     for (const auto& [id, engine] : m_call.snapshot->engines()) {
         if (engine.service != m_call.service->service || !m_dispatch.home.usable(engine) ||
             m_failed.contains(id)) {
             continue;
         }
-        (engine.zone.value == m_context.settings.zone ? own : other).push_back(id);
+        // One order over the site: a chat comes back through any zone's box, and its prefix is
+        // worth more than the hop. A zone without a live box here has no homes to ask.
+        const auto [zone, added] = reachable.try_emplace(engine.zone, false);
+        if (added) {
+            zone->second = !m_dispatch.table.live(engine.zone, now).empty();
+        }
+        if (zone->second) {
+            (m_call.service->chat || engine.zone == ownZone ? near : far).push_back(id);
+        }
     }
     std::vector<EngineChoice> choices;
-    for (const uint32_t i : RendezvousOrder(m_call.chat, own, kMostChoices)) {
-        choices.push_back({own[i], true, m_dispatch.home.saidFull(own[i])});
-    }
-    for (const uint32_t i : RendezvousOrder(m_call.chat, other, kMostChoices)) {
-        choices.push_back({other[i], false, m_dispatch.home.saidFull(other[i])});
+    for (const auto* list : {&near, &far}) {
+        for (const uint32_t i : RendezvousOrder(m_call.chat, *list, kMostChoices)) {
+            const EngineId& engine = (*list)[i];
+            choices.push_back({engine, list == &near, m_dispatch.home.saidFull(engine)});
+        }
     }
     return choices;
 }
@@ -150,6 +161,9 @@
         // No word from the home: it may be lost, frozen or cut off. A late start there is
         // cancelled, and nothing of it can reach the caller: its id is another attempt's.
         m_dispatch.peers.cancel(m_home, m_run);
+        if (std::holds_alternative<WaitOver>(message) && !ask.mayQueue) {
+            m_dispatch.peers.suspect(m_home);
+        }
         m_placement.exclude(ask.engine);
         co_return broken(false, "no verdict from " + m_home.value);
     }
@@ -282,7 +296,7 @@
 void PlacedCall::leaveNote() {
     const EngineId& first = m_placement.firstChoice();
     const EngineConfig* engine = m_call.snapshot->engine(first);
-    if (first == m_engine || engine == nullptr) {
+    if (!m_placement.needsNote(m_engine) || engine == nullptr) {
         return;
     }
     const auto home = m_dispatch.table.homeOf(first, engine->zone, ReadClocks().mono);
--- a/src/router/Router.cpp
+++ b/src/router/Router.cpp
@@ -229,7 +229,7 @@
 
 Task<> Router::drainTask() {
     m_home.refreshHomes();
-    m_peers.sendDigests();
+    m_peers.sendDigestToAll();
     const MonoTime limit = ReadClocks().mono + m_context.settings.drainLimit;
     m_keys.leave();
     co_await SleepFor(kDrainQuiet);
--- a/src/router/RouterSettings.cpp
+++ b/src/router/RouterSettings.cpp
@@ -42,7 +42,8 @@
     settings.logLevel = reader.text("log.level", "info");
     settings.record = reader.text("log.record", "");
     settings.digestPeriod = reader.number("peers.digest_ms", 250, 10, 60000);
-    settings.digestBudget = reader.number("peers.digest_bytes_per_second", 1000, 50, 1000000);
+    settings.digestBudget = reader.number("peers.digest_bytes_per_second", 800, 50, 1000000);
+    settings.digestPeers = reader.number("peers.digest_peers", 16, 1, 10000);
     settings.peerTimeout = reader.number("peers.timeout_ms", 1500, 50, kDay);
     settings.loadPollPeriod = reader.number("upstream.load_poll_ms", 500, 10, kDay);
     settings.hopTimeout = reader.number("upstream.hop_timeout_ms", 1000, 10, kDay);
--- a/tests/EntryPlacementTest.cpp
+++ b/tests/EntryPlacementTest.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-EngineChoice Choice(const char* name, bool ownZone = true, bool full = false) {
-    return {EngineId(name), ownZone, full};
+EngineChoice Choice(const char* name, bool near = true, bool full = false) {
+    return {EngineId(name), near, full};
 }
 
 }  // namespace
 
-TEST_CASE("The order is first choice, own zone, other zones, then the queue") {
+TEST_CASE("The order is first choice, near ones, far ones, then the queue") {
     EntryPlacement placement({Choice("a", true, true), Choice("b", true, true), Choice("c"),
                               Choice("z", false)});
     CHECK(placement.next()->followNote);
@@ -72,8 +72,8 @@
         const EngineId engine("engine" + std::to_string(i));
         homes[engine] = *table.homeOf(engine, ZoneId("z"), {50});
     }
-    table.heard(MemberId("b#1"), true, {60});
-    table.heard(MemberId("c#1"), false, {60});
+    table.heard(MemberId("b#1"), true, 10, {60});
+    table.heard(MemberId("c#1"), false, 10, {60});
     for (const auto& [engine, home] : homes) {
         const MemberId now = *table.homeOf(engine, ZoneId("z"), {60});
         CHECK(now != MemberId("b#1"));
@@ -84,3 +84,16 @@
     // Silence is loss, too.
     CHECK(table.live(ZoneId("z"), {200}).size() == 1);
 }
+
+TEST_CASE("A peer that promised no heartbeats lives until it is lost or suspected") {
+    PeerTable table({MemberId("a#1"), ZoneId("z"), "1"}, 100);
+    table.greeted({MemberId("b#1"), ZoneId("z"), "2"}, {0});
+    table.heard(MemberId("b#1"), false, 0, {0});
+    CHECK(table.isLive(MemberId("b#1"), {10000}));
+    table.suspect(MemberId("b#1"));
+    CHECK_FALSE(table.isLive(MemberId("b#1"), {10000}));
+    table.heard(MemberId("b#1"), false, 0, {10001});
+    CHECK(table.isLive(MemberId("b#1"), {10001}));
+    table.lost(MemberId("b#1"));
+    CHECK_FALSE(table.isLive(MemberId("b#1"), {10002}));
+}
--- a/tests/HomeAdmissionTest.cpp
+++ b/tests/HomeAdmissionTest.cpp
@@ -9,7 +9,7 @@
 const ServiceId kModel("m");
 
 HomedEngine Engine(const char* name, int capacity = 32) {
-    return {EngineId(name), kModel, {1.25, 2, capacity}};
+    return {EngineId(name), kModel, {1.25, 0.6, 2, capacity}};
 }
 
 AdmitAsk Ask(Ticket ticket, const char* engine, const char* chat = "c") {
