Hand keys over to newcomers, too: no key is lost in a rolling restart

Cause (recorded by drain_all.sh, read from the traces; 1 to 5 of 120 keys a restart stayed unknown): - a box that joins sees no epoch before its own, so it could not use the handover: it carries the roster before the change now; - the handover spoke from the start of the last epoch, seconds ago in a rolling restart: it speaks from the last gain that was itself not handed over (RosterHistory::knownSince); - a box that had left was admitted again for a moment by a proposer that had not read its digest: a member that left never returns under the same id; - the new owner answered key-too-old for good while the handover was on its way: it says that the key moves, and the entry asks again within its 1.5 s.

--- a/include/idempotency/KeyOwner.h
+++ b/include/idempotency/KeyOwner.h
@@ -104,7 +104,7 @@
     // A change that this member consented to, until the moved keys are handed over.
     struct Move {
         uint64_t epoch = 0;
-        WallTime since;
+        WallTime since;  // When this member's knowledge of its keys began.
         std::vector<MemberId> before;
         std::vector<MemberId> after;
     };
--- a/include/membership/Roster.h
+++ b/include/membership/Roster.h
@@ -38,10 +38,12 @@
 // process joined. Thread safety: any thread.
 MemberId ProcessOf(const MemberId& member);
 
-// What an earlier owner handed over with a change of the roster to `members`: the whole history
-// since `since` of the keys that this very change moves. It says nothing of another change.
+// What an earlier owner handed over with a change of the roster from `before` to `members`: the
+// whole history since `since` of the keys that this very change moves. It says nothing of another
+// change.
 struct Handover {
     WallTime since;
+    std::vector<MemberId> before;
     std::vector<MemberId> members;
 };
 // By the epoch that the change makes and the member that handed over.
@@ -69,10 +71,24 @@
     std::optional<WallTime> gainedAt(std::string_view key, const MemberId& self,
                                      const Handovers& handovers) const;
 
+    // Owner of `key` in the epoch before the current one; nothing if that is not remembered.
+    // Preconditions: none.
+    std::optional<MemberId> ownerBefore(std::string_view key) const;
+
+    // Since when `self` knows the whole history of all keys that it owns now: the latest epoch in
+    // which it gained keys, or what was handed over with it. Preconditions: none.
+    WallTime knownSince(const MemberId& self, const Handovers& handovers) const;
+
     // Epochs remembered. Preconditions: none.
     size_t size() const { return m_epochs.size(); }
 
 private:
+    // The handover that `from` made for the change to `epoch`; null if there is none.
+    static const Handover* handed(const Roster& epoch, const MemberId& from,
+                                  const Handovers& handovers);
+    // The members before `epoch`, as a handover for it tells; empty if there is none.
+    static std::vector<MemberId> toldBefore(const Roster& epoch, const Handovers& handovers);
+
     std::deque<Roster> m_epochs;  // Oldest first, epochs without a gap.
 };
 
--- a/include/membership/RosterKeeper.h
+++ b/include/membership/RosterKeeper.h
@@ -168,6 +168,7 @@
     Millis promise = 4000;
     Millis takeoverAfter = 2000; // A member that is not heard for so long is taken over.
     Millis retry = 200;          // Between asks for consent.
+    Millis handoverWait = 3000;  // How long a new owner hopes for the old one's handover.
     Millis stuck = 20000;        // A proposal that is not through by then is ended.
     size_t mostMembers = 16;
     KeeperRules rules;
@@ -177,7 +178,7 @@
 enum class KeyRight : uint8_t {
     kMayRun,
     kNotOwner,    // Another member owns it, or this one is not in the roster.
-    kMoving,      // It would change hands by a change that this member consented to.
+    kMoving,      // It changes hands, or its earlier owner's handover may still come.
     kNoLease,     // Neither lease nor promises cover this moment.
     kTooOld,      // Minted before this member gained it: an earlier owner may have run it.
     kInFuture,    // Minted later than the clocks' skew allows.
@@ -202,6 +203,9 @@
         return m_history.current().ownerOf(key);
     }
 
+    // Since when this member knows all about the keys that it owns. Preconditions: none.
+    WallTime knownSince() const { return m_history.knownSince(m_self, m_handovers); }
+
     // This box as a member: it changes when the box joins again. Preconditions: none.
     const MemberId& self() const { return m_self; }
     // How often this process joined anew. Preconditions: none.
@@ -257,6 +261,7 @@
     void ownLeaseReply(const LeaseReply& event, const Now& now, Actions& out);
     void rejoin(Actions& out);
     void readRoster(const Now& now, Actions& out);
+    bool handoverMayCome(std::string_view key, const Now& now) const;
     void takeRoster(const Roster& next, const Now& now, Actions& out);
     void askPromises(const Now& now, Actions& out);
     bool grantConsent(uint64_t epoch, const std::vector<MemberId>& members, const Now& now,
@@ -308,12 +313,14 @@
     MonoTime m_nextPromiseAsk;
 
     Handovers m_handovers;
+    MonoTime m_epochTakenAt;
     bool m_storeWentBack = false;  // The platform shows an older epoch than was seen.
 
     std::map<MemberId, bool> m_live;  // Whether it drains.
     std::map<MemberId, MonoTime> m_lastHeard;
     std::set<std::string> m_listed;
     std::set<MemberId> m_condemned;  // Their leases are revoked: they must go.
+    std::set<MemberId> m_departed;   // Were in a roster and left it: never admitted again.
     bool m_leaving = false;
     uint64_t m_lastCall = 0;
 };
--- a/src/idempotency/KeyOwner.cpp
+++ b/src/idempotency/KeyOwner.cpp
@@ -171,8 +171,8 @@
 void KeyOwner::takeKeeperActions(std::vector<KeeperAction> actions, Actions& out) {
     for (KeeperAction& action : actions) {
         if (const auto* consented = std::get_if<Consented>(&action)) {
-            const Roster& before = m_keeper.roster();
-            m_move = Move{consented->epoch, before.startedAt, before.members, consented->members};
+            m_move = Move{consented->epoch, m_keeper.knownSince(), m_keeper.roster().members,
+                          consented->members};
             continue;
         }
         if (std::holds_alternative<Rejoined>(action)) {
@@ -215,7 +215,10 @@
     }
     for (auto& [member, moved] : entries) {
         out.emplace_back(SendLedger{
-            member, m_move->epoch, {m_move->since, m_move->after}, std::move(moved)});
+            member,
+                                    m_move->epoch,
+                                    {m_move->since, m_move->before, m_move->after},
+                                    std::move(moved)});
     }
     m_move.reset();
 }
--- a/src/membership/Roster.cpp
+++ b/src/membership/Roster.cpp
@@ -47,24 +47,73 @@
     return m_epochs.empty() ? kNone : m_epochs.back();
 }
 
+const Handover* RosterHistory::handed(const Roster& epoch, const MemberId& from,
+                                      const Handovers& handovers) {
+    const auto it = handovers.find({epoch.epoch, from});
+    const bool fits = it != handovers.end() && it->second.members == epoch.members;
+    return fits ? &it->second : nullptr;
+}
+
+std::vector<MemberId> RosterHistory::toldBefore(const Roster& epoch, const Handovers& handovers) {
+    const auto first = handovers.lower_bound({epoch.epoch, MemberId()});
+    for (auto it = first; it != handovers.end() && it->first.first == epoch.epoch; ++it) {
+        if (it->second.members == epoch.members) {
+            return it->second.before;
+        }
+    }
+    return {};
+}
+
 std::optional<WallTime> RosterHistory::gainedAt(std::string_view key, const MemberId& self,
                                                 const Handovers& handovers) const {
     const Roster* gained = nullptr;
-    for (auto it = m_epochs.rbegin(); it != m_epochs.rend(); ++it) {
+    std::optional<MemberId> source;
+    for (auto it = m_epochs.rbegin(); it != m_epochs.rend() && !source; ++it) {
         const auto owner = it->ownerOf(key);
-        if (owner == self) {
-            gained = &*it;
-            continue;
+        if (owner != self) {
+            source = owner;
+            break;
+        }
+        gained = &*it;
+    }
+    if (gained == nullptr) {
+        return std::nullopt;
+    }
+    if (gained == &m_epochs.front()) {
+        // This member saw nothing before; the one that handed over did.
+        source = OwnerAmong(key, toldBefore(*gained, handovers));
+    }
+    const Handover* handover = source ? handed(*gained, *source, handovers) : nullptr;
+    return handover != nullptr ? handover->since : gained->startedAt;
+}
+
+std::optional<MemberId> RosterHistory::ownerBefore(std::string_view key) const {
+    return m_epochs.size() < 2 ? std::nullopt : m_epochs[m_epochs.size() - 2].ownerOf(key);
+}
+
+WallTime RosterHistory::knownSince(const MemberId& self, const Handovers& handovers) const {
+    WallTime known;
+    Roster before;
+    for (const Roster& epoch : m_epochs) {
+        if (&epoch == &m_epochs.front()) {
+            before.members = toldBefore(epoch, handovers);
+        }
+        if (!epoch.has(self)) {
+            known = {};
+        } else if (before.members.empty()) {
+            known = std::max(known, epoch.startedAt);
         }
-        if (owner && gained != nullptr) {
-            const auto handed = handovers.find({gained->epoch, *owner});
-            if (handed != handovers.end() && handed->second.members == gained->members) {
-                return handed->second.since;
-            }
+        for (const MemberId& other : before.members) {
+            // By rendezvous, keys come from members that go, and all at once to one that joins.
+            const bool source =
+                epoch.has(self) && other != self && (!before.has(self) || !epoch.has(other));
+            const Handover* handover = source ? handed(epoch, other, handovers) : nullptr;
+            const WallTime since = handover != nullptr ? handover->since : epoch.startedAt;
+            known = source ? std::max(known, since) : known;
         }
-        break;
+        before = epoch;
     }
-    return gained == nullptr ? std::nullopt : std::optional(gained->startedAt);
+    return known;
 }
 
 }  // namespace onyx
--- a/src/membership/RosterKeeper.cpp
+++ b/src/membership/RosterKeeper.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t kMostRounds = 16;
+constexpr size_t kMostDeparted = 1000;
 constexpr size_t kMostHandovers = 64;
 
 MemberId WithGeneration(const MemberId& process, uint64_t generation) {
@@ -47,7 +48,24 @@
     // clock of the earlier owner, which took keys up to one skew ahead of it.
     const auto gained = m_history.gainedAt(key, m_self, m_handovers);
     const bool tooOld = !gained || mintedAt <= *gained + 2 * m_settings.skew;
-    return m_settings.rules.mint && tooOld ? KeyRight::kTooOld : KeyRight::kMayRun;
+    if (!m_settings.rules.mint || !tooOld) {
+        return KeyRight::kMayRun;
+    }
+    return handoverMayCome(key, now) ? KeyRight::kMoving : KeyRight::kTooOld;
+}
+
+bool RosterKeeper::handoverMayCome(std::string_view key, const Now& now) const {
+    if (now.mono - m_epochTakenAt >= m_settings.handoverWait) {
+        return false;
+    }
+    const auto owner = m_history.ownerBefore(key);
+    if (!owner) {
+        // A newcomer does not know whose the key was; whoever it was may still hand over.
+        return m_history.size() == 1 && !m_live.empty() &&
+               !m_handovers.contains({roster().epoch, m_live.begin()->first});
+    }
+    const bool given = m_handovers.contains({roster().epoch, *owner});
+    return *owner != m_self && !given && m_live.contains(*owner);
 }
 
 bool RosterKeeper::promised(const Now& now) const {
@@ -210,6 +228,14 @@
 
 void RosterKeeper::takeRoster(const Roster& next, const Now& now, Actions& out) {
     const bool wasMember = roster().has(m_self);
+    for (const MemberId& member : roster().members) {
+        if (!next.has(member)) {
+            m_departed.insert(member);
+        }
+    }
+    while (m_departed.size() > kMostDeparted) {
+        m_departed.erase(m_departed.begin());
+    }
     if (!m_history.add(next)) {
         return;
     }
@@ -218,6 +244,7 @@
     m_promiseRounds.clear();
     m_proposal.reset();
     m_storeWentBack = false;
+    m_epochTakenAt = now.mono;
     m_withheld.clear();
     for (const MemberId& member : next.members) {
         m_lastHeard.try_emplace(member, now.mono);
@@ -380,7 +407,8 @@
         }
     }
     const auto admit = [&](const MemberId& member) {
-        if (wanted.size() < m_settings.mostMembers && !m_condemned.contains(member)) {
+        const bool gone = m_condemned.contains(member) || m_departed.contains(member);
+        if (wanted.size() < m_settings.mostMembers && !gone) {
             wanted.insert(member);
         }
     };
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -107,6 +107,7 @@
     wire::HandoverT message;
     message.epoch = action.epoch;
     message.since_ms = action.handover.since.ms;
+    message.before = NamesOf(action.handover.before);
     message.members = NamesOf(action.handover.members);
     for (const KeyEntry& entry : action.entries) {
         auto out = std::make_unique<wire::LedgerEntryT>();
@@ -127,7 +128,8 @@
     LedgerReceived received;
     received.from = from;
     received.epoch = message.epoch;
-    received.handover = {{message.since_ms}, MembersOf(message.members)};
+    received.handover = {
+        {message.since_ms}, MembersOf(message.before), MembersOf(message.members)};
     for (const auto& in : message.entries) {
         KeyEntry entry;
         entry.key = in->key;
@@ -519,7 +521,10 @@
 
 void KeyController::onDigest(const MemberId& from, const wire::DigestT& digest) {
     m_generations[from] = digest.generation;
-    m_draining[from] = digest.draining;
+    if (m_draining[from] != digest.draining) {
+        m_draining[from] = digest.draining;
+        feedLive();  // Before the roster that it leaves is read, or it would be admitted again.
+    }
     const auto& reachable = m_table.reachable(ReadClocks().mono);
     for (const PeerInfo& peer : reachable) {
         const bool sameZone = peer.zone.value == m_context.settings.zone;
--- a/src/router/KeyTrace.cpp
+++ b/src/router/KeyTrace.cpp
@@ -34,10 +34,10 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeeperRules, lease, consent, mint, revoke)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeeperSettings, lease, renew, drift, skew, promise,
-                                   takeoverAfter, retry, stuck, mostMembers, rules)
+                                   takeoverAfter, retry, handoverWait, stuck, mostMembers, rules)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Roster, epoch, members, startedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRecord, holder, revoked)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Handover, since, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Handover, since, before, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeyEntry, key, mintedAt, digest, state, status, contentType,
                                    body, bodyKept)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Refusal, reason, outcome, retryAfter, detail)
--- a/tests/KeyWorld.cpp
+++ b/tests/KeyWorld.cpp
@@ -23,6 +23,7 @@
     settings.promise = 40;
     settings.takeoverAfter = 30;
     settings.retry = 10;
+    settings.handoverWait = 30;
     settings.stuck = 200;
     return settings;
 }
