--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -36,7 +36,7 @@
     bool notes = true;
     bool siteOrder = true;  // Order over the site's engines, or the entry's zone first.
     bool skipFull = true;
-    bool meanHint = true;     // The last ask carries the mean load that the others showed.
+    bool meanHint = true;  // The last ask carries the mean load that the others showed.
 };
 
 constexpr Millis kReportEvery = 500;
@@ -179,7 +179,8 @@
                 RendezvousWinner<MemberId>(m_names[static_cast<size_t>(engine)].value, boxes);
             const uint16_t box = numbers[static_cast<size_t>(winner)];
             m_homeOf.push_back(box);
-            const BoundSettings bound{settings.multiple, settings.headroom, settings.floor, 1 << 20};
+            const BoundSettings bound{settings.multiple, settings.headroom, settings.floor,
+                                      1 << 20};
             homed[box].push_back({m_names[static_cast<size_t>(engine)], kModel, bound});
         }
         for (size_t i = 0; i < m_homes.size(); ++i) {
@@ -312,8 +313,7 @@
         std::vector<EngineChoice> choices;
         for (const auto* list : {&own, &other}) {
             for (const uint32_t i : RendezvousOrder(chat, *list, kMostChoices)) {
-                const bool full =
-                    m_settings.skipFull && loads.saidFull((*list)[i], {arrival.at});
+                const bool full = m_settings.skipFull && loads.saidFull((*list)[i], {arrival.at});
                 choices.push_back({(*list)[i], list == &own, full});
             }
         }
--- a/bench/PolicyBench/PolicySite.cpp
+++ b/bench/PolicyBench/PolicySite.cpp
@@ -86,9 +86,8 @@
     figures.skewMedian = Quantile(m_skews, 0.5);
     figures.skew99 = Quantile(m_skews, 0.99);
     figures.skewWorst = Quantile(m_skews, 1.0);
-    figures.reuse = m_possible == 0
-                        ? 0
-                        : static_cast<double>(m_cached) / static_cast<double>(m_possible);
+    figures.reuse =
+        m_possible == 0 ? 0 : static_cast<double>(m_cached) / static_cast<double>(m_possible);
     figures.overBound =
         m_skews.empty() ? 0 : static_cast<double>(m_over) / static_cast<double>(m_skews.size());
     return figures;
--- a/bench/PolicyBench/PolicySite.h
+++ b/bench/PolicyBench/PolicySite.h
@@ -20,9 +20,9 @@
     double skewMedian = 0;
     double skew99 = 0;
     double skewWorst = 0;
-    double reuse = 0;        // Cached over possible prompt tokens.
-    double asks = 0;         // Homes or engines asked for each request.
-    double controlBytes = 0; // Sent, for each router and second.
+    double reuse = 0;         // Cached over possible prompt tokens.
+    double asks = 0;          // Homes or engines asked for each request.
+    double controlBytes = 0;  // Sent, for each router and second.
     uint64_t refused = 0;
     uint64_t queued = 0;
     double quietWait99 = 0;  // Milliseconds that quiet teams' urgent requests waited.
--- a/bench/PolicyBench/PolicyTrace.cpp
+++ b/bench/PolicyBench/PolicyTrace.cpp
@@ -32,7 +32,8 @@
     const Millis surgeTo = settings.length * 3 / 5;
     double at = 0;
     while (true) {
-        const bool surging = at >= static_cast<double>(surgeFrom) && at < static_cast<double>(surgeTo);
+        const bool surging =
+            at >= static_cast<double>(surgeFrom) && at < static_cast<double>(surgeTo);
         // One team of ten sends a tenth; surging, its share of the arrivals grows.
         const double base = 1.0 / settings.teams;
         const double surgeRate = surging ? base * settings.surge : base;
@@ -49,9 +50,9 @@
         // A chat sends its next turn only after the answer to the last and a pause.
         for (int tries = 0; tries < kMostPicks; ++tries) {
             const bool hot = !recent.empty() && share(random) < kHotShare;
-            arrival.chat = hot ? recent[random() % recent.size()]
-                               : static_cast<uint32_t>(random() %
-                                                       static_cast<uint64_t>(settings.chats));
+            arrival.chat =
+                hot ? recent[random() % recent.size()]
+                    : static_cast<uint32_t>(random() % static_cast<uint64_t>(settings.chats));
             // Chats belong to teams by number; a surging request takes one of team 0's chats.
             if (surger) {
                 arrival.chat -= arrival.chat % static_cast<uint32_t>(settings.teams);
@@ -84,8 +85,10 @@
     const auto flaps =
         static_cast<int>(settings.flapsPerSecond * static_cast<double>(settings.length) / 1000);
     for (int i = 0; i < flaps; ++i) {
-        const auto start = static_cast<Millis>(share(random) * static_cast<double>(settings.length));
-        const auto engine = static_cast<uint16_t>(random() % static_cast<uint64_t>(settings.engines));
+        const auto start =
+            static_cast<Millis>(share(random) * static_cast<double>(settings.length));
+        const auto engine =
+            static_cast<uint16_t>(random() % static_cast<uint64_t>(settings.engines));
         trace.flaps.push_back({start, engine, true});
         trace.flaps.push_back({start + kFlapLength, engine, false});
     }
--- a/bench/PolicyBench/PolicyTrace.h
+++ b/bench/PolicyBench/PolicyTrace.h
@@ -19,7 +19,7 @@
     Millis length = 120000;
     int chats = 6000;
     int teams = 10;
-    double surge = 10;        // The surging team's rate is multiplied by this in the middle fifth.
+    double surge = 10;  // The surging team's rate is multiplied by this in the middle fifth.
     double flapsPerSecond = 0.2;
     uint64_t seed = 1;
 };
--- a/include/admin/ConfigEditor.h
+++ b/include/admin/ConfigEditor.h
@@ -19,8 +19,8 @@
 // The head object: names the revision, the shards by digest, and the latest changes by id.
 struct ConfigHead {
     uint64_t revision = 0;
-    std::map<std::string, std::string> shards;                     // Name to digest.
-    std::vector<std::pair<std::string, uint64_t>> recentChanges;   // Change id, revision.
+    std::map<std::string, std::string> shards;                    // Name to digest.
+    std::vector<std::pair<std::string, uint64_t>> recentChanges;  // Change id, revision.
 
     static constexpr size_t kRecentChanges = 256;
 
--- a/include/admission/FairQueue.h
+++ b/include/admission/FairQueue.h
@@ -26,8 +26,8 @@
     Ticket ticket = 0;
     TeamId team;
     Priority priority = Priority::kNormal;
-    double weight = 1.0;   // The team's share against other teams.
-    MonoTime deadline;     // It must start before this.
+    double weight = 1.0;  // The team's share against other teams.
+    MonoTime deadline;    // It must start before this.
     MonoTime queuedAt;
 };
 
--- a/include/agent/AgentSettings.h
+++ b/include/agent/AgentSettings.h
@@ -14,7 +14,7 @@
     Endpoint platform;
     Endpoint router;
     std::string logLevel = "info";
-    Millis watchWait = 25000;   // Longest single watch.
+    Millis watchWait = 25000;  // Longest single watch.
     Millis boxListPeriod = 1000;
     Millis retryPause = 500;
 
--- a/include/base/Ids.h
+++ b/include/base/Ids.h
@@ -36,7 +36,5 @@
 
 template <class Tag>
 struct std::hash<onyx::Id<Tag>> {
-    size_t operator()(const onyx::Id<Tag>& id) const {
-        return std::hash<std::string>{}(id.value);
-    }
+    size_t operator()(const onyx::Id<Tag>& id) const { return std::hash<std::string>{}(id.value); }
 };
--- a/include/base/Result.h
+++ b/include/base/Result.h
@@ -10,7 +10,6 @@
 namespace onyx {
 
 template <class T>
-using Result =
-    boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 }  // namespace onyx
--- a/include/idempotency/KeyLedger.h
+++ b/include/idempotency/KeyLedger.h
@@ -36,9 +36,9 @@
 
 // Bounds of the ledger.
 struct LedgerSettings {
-    Millis horizon = 600000;    // Keys minted earlier are neither kept nor run.
-    size_t most = 100000;       // Keys kept; when full, new keys are refused.
-    size_t mostBody = 4096;     // Larger answers are not kept.
+    Millis horizon = 600000;  // Keys minted earlier are neither kept nor run.
+    size_t most = 100000;     // Keys kept; when full, new keys are refused.
+    size_t mostBody = 4096;   // Larger answers are not kept.
 };
 
 // Not thread safe: one task owns it. Copyable.
--- a/include/idempotency/KeyOwner.h
+++ b/include/idempotency/KeyOwner.h
@@ -15,7 +15,7 @@
 namespace onyx {
 
 // Events.
-struct KeyAsk {  // A request with a key arrived.
+struct KeyAsk {            // A request with a key arrived.
     uint64_t request = 0;  // Chosen by the caller of step(); unique.
     std::string key;
     WallTime mintedAt;
@@ -65,8 +65,7 @@
     Handover handover;
     std::vector<KeyEntry> entries;
 };
-using KeyAction =
-    std::variant<RunKey, KeyRan, KeyRefused, KeyElsewhere, SendLedger, KeeperAction>;
+using KeyAction = std::variant<RunKey, KeyRan, KeyRefused, KeyElsewhere, SendLedger, KeeperAction>;
 
 // Not thread safe: one task owns it. Copyable: tests explore from copies.
 class KeyOwner {
@@ -124,7 +123,7 @@
 
     RosterKeeper m_keeper;
     KeyLedger m_ledger;
-    std::map<uint64_t, Run> m_runs;                // By the request that started it.
+    std::map<uint64_t, Run> m_runs;  // By the request that started it.
     std::map<std::string, uint64_t> m_runOfKey;
     std::optional<Move> m_move;
 };
--- a/include/membership/Roster.h
+++ b/include/membership/Roster.h
@@ -16,7 +16,7 @@
 
 // One epoch. In the platform it is one object a zone, changed by conditional update.
 struct Roster {
-    uint64_t epoch = 0;  // 0: there is none.
+    uint64_t epoch = 0;             // 0: there is none.
     std::vector<MemberId> members;  // Sorted, none twice.
     WallTime startedAt;             // By the clock of the box that wrote it, when it sent it.
 
--- a/include/membership/RosterKeeper.h
+++ b/include/membership/RosterKeeper.h
@@ -163,13 +163,13 @@
 struct KeeperSettings {
     Millis lease = 6000;
     Millis renew = 2000;
-    Millis drift = 500;          // Margin for clocks that run at different rates.
-    Millis skew = 500;           // Most that two boxes' wall clocks may differ.
+    Millis drift = 500;  // Margin for clocks that run at different rates.
+    Millis skew = 500;   // Most that two boxes' wall clocks may differ.
     Millis promise = 4000;
-    Millis takeoverAfter = 2000; // A member that is not heard for so long is taken over.
-    Millis retry = 200;          // Between asks for consent.
-    Millis handoverWait = 3000;  // How long a new owner hopes for the old one's handover.
-    Millis stuck = 20000;        // A proposal that is not through by then is ended.
+    Millis takeoverAfter = 2000;  // A member that is not heard for so long is taken over.
+    Millis retry = 200;           // Between asks for consent.
+    Millis handoverWait = 3000;   // How long a new owner hopes for the old one's handover.
+    Millis stuck = 20000;         // A proposal that is not through by then is ended.
     size_t mostMembers = 16;
     KeeperRules rules;
 };
@@ -177,11 +177,11 @@
 // Why a key may or may not be run here now.
 enum class KeyRight : uint8_t {
     kMayRun,
-    kNotOwner,    // Another member owns it, or this one is not in the roster.
-    kMoving,      // It changes hands, or its earlier owner's handover may still come.
-    kNoLease,     // Neither lease nor promises cover this moment.
-    kTooOld,      // Minted before this member gained it: an earlier owner may have run it.
-    kInFuture,    // Minted later than the clocks' skew allows.
+    kNotOwner,  // Another member owns it, or this one is not in the roster.
+    kMoving,    // It changes hands, or its earlier owner's handover may still come.
+    kNoLease,   // Neither lease nor promises cover this moment.
+    kTooOld,    // Minted before this member gained it: an earlier owner may have run it.
+    kInFuture,  // Minted later than the clocks' skew allows.
 };
 
 // Not thread safe: one task owns it. Copyable: tests explore from copies.
--- a/include/observe/Metrics.h
+++ b/include/observe/Metrics.h
@@ -43,9 +43,9 @@
 
 private:
     using Summary = boost::accumulators::accumulator_set<
-        double, boost::accumulators::stats<boost::accumulators::tag::count,
-                                           boost::accumulators::tag::sum,
-                                           boost::accumulators::tag::extended_p_square_quantile>>;
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::extended_p_square_quantile>>;
 
     std::map<std::string, uint64_t> m_counters;
     std::map<std::string, double> m_gauges;
--- a/include/placement/HomeAdmission.h
+++ b/include/placement/HomeAdmission.h
@@ -81,8 +81,8 @@
     size_t mostNotes = 20000;
     Millis noteAge = 4 * 3600 * 1000;
     Millis digestAge = 2000;
-    int gainStep = 2;           // Room on a newly gained engine until its first report...
-    Millis gainSettle = 3000;   // ...or until this much time has passed.
+    int gainStep = 2;          // Room on a newly gained engine until its first report...
+    Millis gainSettle = 3000;  // ...or until this much time has passed.
 };
 
 // Not thread safe: one task owns it.
@@ -122,7 +122,8 @@
     // The loads of the engines homed here, for the digest. Preconditions: none.
     std::vector<EngineLoad> loads(MonoTime now) const;
 
-    // Load over the engines as known here, this box's and those of fresh digests. Preconditions: none.
+    // Load over the engines as known here, this box's and those of fresh digests. Preconditions:
+    // none.
     ZoneTotal total(MonoTime now) const { return m_zone.total(counts(), now); }
 
     // What the zone's digests say; for skipping full engines. Preconditions: none.
--- a/include/placement/LoadBound.h
+++ b/include/placement/LoadBound.h
@@ -11,8 +11,8 @@
     // Share of (c - 1) that admission uses. The mean falls under running work and is known late,
     // so admitting right up to c breaks the bound a moment later (docs/design/placement.md).
     double headroom = 0.6;
-    int floor = 2;           // Below this many in flight the bound does not bind.
-    int capacity = 32;       // Most that one engine may ever have in flight.
+    int floor = 2;      // Below this many in flight the bound does not bind.
+    int capacity = 32;  // Most that one engine may ever have in flight.
 };
 
 // Most requests that one engine may have in flight when the mean is `meanInFlight` (requests an
--- a/include/router/CallContext.h
+++ b/include/router/CallContext.h
@@ -23,7 +23,7 @@
     MonoTime deadline;
     ChatId chat;
     bool stream = false;
-    std::string key;      // Of a request that may not be repeated.
+    std::string key;  // Of a request that may not be repeated.
     WallTime keyMintedAt;
 };
 
--- a/include/router/PeerController.h
+++ b/include/router/PeerController.h
@@ -111,7 +111,7 @@
     RouterContext& m_context;
     PeerTable& m_table;
     HomeController& m_home;
-    std::map<std::string, Dialed> m_dialed;  // By address.
+    std::map<std::string, Dialed> m_dialed;                  // By address.
     std::map<MemberId, std::shared_ptr<FrameLink>> m_links;  // Outgoing, by member.
     struct OpenRun {
         MemberId home;
--- a/include/router/PlacedCall.h
+++ b/include/router/PlacedCall.h
@@ -27,9 +27,9 @@
 
 // What came of a request, for the service-level report.
 struct CallResult {
-    bool good = false;         // Answered whole.
-    bool callerGone = false;   // Counts neither way.
-    Millis firstByte = -1;     // Until the first byte to the caller; -1: none was sent.
+    bool good = false;        // Answered whole.
+    bool callerGone = false;  // Counts neither way.
+    Millis firstByte = -1;    // Until the first byte to the caller; -1: none was sent.
 };
 
 // One request; not thread safe. Preconditions: the call passed the filters.
--- a/include/router/Problem.h
+++ b/include/router/Problem.h
@@ -12,7 +12,7 @@
 // An answer that is not what the caller wanted.
 struct Problem {
     unsigned status = 500;
-    std::string type;   // Stable name, such as "overloaded".
+    std::string type;  // Stable name, such as "overloaded".
     std::string detail;
     RunOutcome outcome = RunOutcome::kNotRun;
     Millis retryAfter = 0;  // 0: none.
--- a/include/router/RouterSettings.h
+++ b/include/router/RouterSettings.h
@@ -14,21 +14,21 @@
     std::string box;
     std::string zone;
     std::string site;
-    Endpoint callers;                 // HTTP for callers.
-    Endpoint peers;                   // Frames for other boxes and the agent.
-    Endpoint metrics;                 // HTTP for /metrics, /healthz, /readyz.
-    std::string advertised;           // The peers address as others reach it; default: peers.
-    std::vector<Endpoint> seeds;      // Peers to try when the platform cannot be asked.
+    Endpoint callers;             // HTTP for callers.
+    Endpoint peers;               // Frames for other boxes and the agent.
+    Endpoint metrics;             // HTTP for /metrics, /healthz, /readyz.
+    std::string advertised;       // The peers address as others reach it; default: peers.
+    std::vector<Endpoint> seeds;  // Peers to try when the platform cannot be asked.
     std::string logLevel = "info";
-    std::string record;               // File to record decision events in; empty: none.
+    std::string record;  // File to record decision events in; empty: none.
 
     Millis digestPeriod = 250;
-    int64_t digestBudget = 800;       // Bytes a second for digests; stretches the period.
-    int64_t digestPeers = 16;         // Boxes that get this box's digest.
+    int64_t digestBudget = 800;  // Bytes a second for digests; stretches the period.
+    int64_t digestPeers = 16;    // Boxes that get this box's digest.
     Millis peerTimeout = 1500;
     Millis loadPollPeriod = 500;
-    Millis hopTimeout = 1000;         // For a home's verdict.
-    Millis stallTimeout = 2000;       // Longest silence inside a stream.
+    Millis hopTimeout = 1000;    // For a home's verdict.
+    Millis stallTimeout = 2000;  // Longest silence inside a stream.
     Millis defaultDeadline = 30000;
     Millis drainLimit = 30000;
     double retryShare = 0.1;
--- a/include/router/RunChannel.h
+++ b/include/router/RunChannel.h
@@ -20,8 +20,8 @@
 // receive() waited as long as it was told to.
 struct WaitOver {};
 
-using RunMessage = std::variant<wire::RunVerdictT, wire::RunChunkT, wire::RunEndT, HopLost,
-                                CallerGone, WaitOver>;
+using RunMessage =
+    std::variant<wire::RunVerdictT, wire::RunChunkT, wire::RunEndT, HopLost, CallerGone, WaitOver>;
 
 // Not thread safe: one io_context. Held by shared_ptr by both ends.
 class RunChannel {
--- a/include/standin/FakeEngine.h
+++ b/include/standin/FakeEngine.h
@@ -15,28 +15,28 @@
 
 // Speed and size of the engine.
 struct FakeEngineSettings {
-    Millis stepBase = 3;               // One step with one request.
-    double stepPerRequest = 0.1;       // Added for each further request, in milliseconds.
-    int mostInBatch = 16;              // Further requests wait, most urgent first.
-    double prefillPerToken = 0.05;     // Milliseconds for a prompt token that is not cached.
-    size_t cacheTokens = 20000;        // Memory for prefixes.
+    Millis stepBase = 3;            // One step with one request.
+    double stepPerRequest = 0.1;    // Added for each further request, in milliseconds.
+    int mostInBatch = 16;           // Further requests wait, most urgent first.
+    double prefillPerToken = 0.05;  // Milliseconds for a prompt token that is not cached.
+    size_t cacheTokens = 20000;     // Memory for prefixes.
 };
 
 // What it may be told to do wrong.
 struct FakeEngineFaults {
-    bool freeze = false;        // Steps stop; connections stay.
-    bool leaving = false;       // Says so in its load report.
-    bool refuse = false;        // Answers 503 to new requests.
-    Millis loadLag = 0;         // Load reports speak of this long ago.
-    int breakAfter = -1;        // Breaks streams off after so many tokens...
-    int breakCount = 0;         // ...this many times.
-    int crossCount = 0;         // So many answers carry another request's id.
-    int shortCount = 0;         // So many answers end without the end mark.
-    int dropLastCount = 0;      // So many answers lack their last token, end mark and all.
-    int repeatCount = 0;        // So many tokens are sent twice.
-    int failCount = 0;          // So many requests get status 500.
-    double failShare = 0;       // This share of the requests gets status 500.
-    int eventGap = 0;           // Every so many cache events one is lost.
+    bool freeze = false;    // Steps stop; connections stay.
+    bool leaving = false;   // Says so in its load report.
+    bool refuse = false;    // Answers 503 to new requests.
+    Millis loadLag = 0;     // Load reports speak of this long ago.
+    int breakAfter = -1;    // Breaks streams off after so many tokens...
+    int breakCount = 0;     // ...this many times.
+    int crossCount = 0;     // So many answers carry another request's id.
+    int shortCount = 0;     // So many answers end without the end mark.
+    int dropLastCount = 0;  // So many answers lack their last token, end mark and all.
+    int repeatCount = 0;    // So many tokens are sent twice.
+    int failCount = 0;      // So many requests get status 500.
+    double failShare = 0;   // This share of the requests gets status 500.
+    int eventGap = 0;       // Every so many cache events one is lost.
 };
 
 // Not thread safe: one io_context.
--- a/include/standin/FakePlatform.h
+++ b/include/standin/FakePlatform.h
@@ -14,10 +14,10 @@
 
 // What the stand-in may be told to do wrong, and its limits.
 struct FakePlatformFaults {
-    bool outage = false;       // Every call is refused with 503.
-    bool hang = false;         // Every call waits until this is taken back.
-    Millis delay = 0;          // Before each answer.
-    int loseAnswers = 0;       // So many writes take effect and close the connection.
+    bool outage = false;  // Every call is refused with 503.
+    bool hang = false;    // Every call waits until this is taken back.
+    Millis delay = 0;     // Before each answer.
+    int loseAnswers = 0;  // So many writes take effect and close the connection.
     double writesPerSecond = 100;
     double readsPerSecond = 2000;
     Millis boxListLag = 0;
--- a/include/standin/FakeService.h
+++ b/include/standin/FakeService.h
@@ -11,10 +11,11 @@
 
 // What it may be told to do wrong.
 struct FakeServiceFaults {
-    Millis delay = 0;       // Between execution and answer.
-    int loseAnswers = 0;    // So many requests are executed and get no answer.
-    int failCount = 0;      // So many requests get status 500 without execution.
-    bool checkFence = false;  // Orders with a lower fencing token than the highest seen are refused.
+    Millis delay = 0;     // Between execution and answer.
+    int loseAnswers = 0;  // So many requests are executed and get no answer.
+    int failCount = 0;    // So many requests get status 500 without execution.
+    bool checkFence =
+        false;  // Orders with a lower fencing token than the highest seen are refused.
 };
 
 // Not thread safe: one io_context.
--- a/include/standin/LoadRun.h
+++ b/include/standin/LoadRun.h
@@ -17,26 +17,26 @@
     std::vector<Endpoint> targets;
     std::vector<std::string> tokens;  // One a team.
     std::string model = "desk-model";
-    std::string keyedService;         // Empty: no keyed requests.
-    int requests = 200;               // In all.
-    int workers = 16;                 // At a time.
-    int chats = 40;                   // Chats that return.
+    std::string keyedService;  // Empty: no keyed requests.
+    int requests = 200;        // In all.
+    int workers = 16;          // At a time.
+    int chats = 40;            // Chats that return.
     int maxTokens = 24;
-    double keyedShare = 0;            // Of the requests.
+    double keyedShare = 0;  // Of the requests.
     double urgentShare = 0.2;
-    Millis pause = 0;                 // Between a worker's requests.
+    Millis pause = 0;  // Between a worker's requests.
     Millis deadline = 15000;
-    Millis mostTime = 120000;         // The run stops by then.
-    int keyTries = 12;                // Tries of one key until its outcome is known.
+    Millis mostTime = 120000;  // The run stops by then.
+    int keyTries = 12;         // Tries of one key until its outcome is known.
     uint64_t seed = 1;
 };
 
 // What came back.
 struct LoadReport {
     int answered = 0;
-    int wrong = 0;      // Short, doubled, foreign or silently ended answers.
-    int refused = 0;    // Explicit refusals.
-    int failed = 0;     // No HTTP answer: a cut connection.
+    int wrong = 0;    // Short, doubled, foreign or silently ended answers.
+    int refused = 0;  // Explicit refusals.
+    int failed = 0;   // No HTTP answer: a cut connection.
     int keysRan = 0;
     int keysNotRun = 0;
     int keysUnknown = 0;  // Still, after all tries.
--- a/include/upstream/ServiceClient.h
+++ b/include/upstream/ServiceClient.h
@@ -15,8 +15,8 @@
     std::string target = "/";
     std::string contentType;
     std::string body;
-    std::string key;        // Idempotency key, if any.
-    uint64_t fence = 0;     // Fencing token, for services that check it; 0: none.
+    std::string key;     // Idempotency key, if any.
+    uint64_t fence = 0;  // Fencing token, for services that check it; 0: none.
     Millis timeout = 10000;
 };
 
--- a/include/wire/FrameCodec.h
+++ b/include/wire/FrameCodec.h
@@ -11,7 +11,7 @@
 namespace onyx {
 
 inline constexpr uint32_t kWireVersion = 1;
-inline constexpr size_t kFrameHeaderSize = 4;             // Length of the rest, little endian.
+inline constexpr size_t kFrameHeaderSize = 4;              // Length of the rest, little endian.
 inline constexpr size_t kMostFrameSize = 8 * 1024 * 1024;  // Larger frames break the protocol.
 
 // Wraps a message of the schema (such as wire::DigestT) and encodes it with its length.
--- a/src/admin/AdminService.cpp
+++ b/src/admin/AdminService.cpp
@@ -71,8 +71,7 @@
     if (good.has_error()) {
         co_return good.error();
     }
-    co_return co_await store.commit(std::move(base).value(), editor.shards(),
-                                    request.change_id());
+    co_return co_await store.commit(std::move(base).value(), editor.shards(), request.change_id());
 }
 
 // What one box says in its first digest.
--- a/src/admin/ConfigEditor.cpp
+++ b/src/admin/ConfigEditor.cpp
@@ -55,8 +55,7 @@
             {"capacity", service.capacity() == 0 ? 32 : service.capacity()},
             {"zones", std::vector<std::string>(service.zones().begin(), service.zones().end())},
             {"objective_ms", service.objective_ms() == 0 ? 1800 : service.objective_ms()},
-            {"objective_share",
-             service.objective_share() == 0 ? 0.95 : service.objective_share()},
+            {"objective_share", service.objective_share() == 0 ? 0.95 : service.objective_share()},
             {"default_priority",
              service.default_priority().empty() ? "normal" : service.default_priority()}};
 }
--- a/src/admin/Ctl.cpp
+++ b/src/admin/Ctl.cpp
@@ -3,9 +3,9 @@
 #include "generated/onyx_admin.grpc.pb.h"
 #include "include/net/Program.h"
 
-#include <CLI/CLI.hpp>
 #include <google/protobuf/util/json_util.h>
 #include <grpcpp/create_channel.h>
+#include <CLI/CLI.hpp>
 
 #include <array>
 #include <chrono>
@@ -169,8 +169,8 @@
             std::printf("\n%-16s %-12s %-22s %9s %6s %s\n", "BOX", "ZONE", "ADDRESS", "REVISION",
                         "EPOCH", "STATE");
             for (const v1::BoxStatus& box : reply.boxes()) {
-                const std::string state = !box.reachable()     ? "unreachable " + box.detail()
-                                          : box.leaving()      ? "leaving"
+                const std::string state = !box.reachable()       ? "unreachable " + box.detail()
+                                          : box.leaving()        ? "leaving"
                                           : box.detail().empty() ? "ok"
                                                                  : box.detail();
                 std::printf("%-16s %-12s %-22s %9llu %6llu %s\n", box.box().c_str(),
--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -33,9 +33,10 @@
         if (line.teams.empty()) {
             continue;
         }
-        const auto next = std::min_element(
-            line.teams.begin(), line.teams.end(),
-            [](const auto& a, const auto& b) { return a.second.virtualTime < b.second.virtualTime; });
+        const auto next = std::min_element(line.teams.begin(), line.teams.end(),
+                                           [](const auto& a, const auto& b) {
+                                               return a.second.virtualTime < b.second.virtualTime;
+                                           });
         QueuedRequest request = std::move(next->second.waiting.front());
         next->second.waiting.pop_front();
         line.virtualTime = next->second.virtualTime;
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -109,8 +109,8 @@
 Task<bool> Agent::fetchConfig(PlatformObject head) {
     const json document = json::parse(head.value, nullptr, false);
     const bool valid = document.is_object() && document.contains("revision") &&
-                       document["revision"].is_number_unsigned() &&
-                       document.contains("shards") && document["shards"].is_object();
+                       document["revision"].is_number_unsigned() && document.contains("shards") &&
+                       document["shards"].is_object();
     if (!valid) {
         logEvent(Event::kConfigCorrupt, {{"path", std::string(kHeadPath)}, {"source", "platform"}});
         co_return true;
@@ -180,8 +180,8 @@
         } else {
             reply.version = object.value().version;
             reply.value = object.value().value;
-            reply.status = reply.version == 0 ? wire::PlatformStatus::Missing
-                                              : wire::PlatformStatus::Ok;
+            reply.status =
+                reply.version == 0 ? wire::PlatformStatus::Missing : wire::PlatformStatus::Ok;
         }
     } else {
         auto written = co_await m_platform.put(call.path, call.expect, call.value);
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -63,8 +63,8 @@
 
 void SettingsReader::expect(std::string_view key, std::string_view expected,
                             std::string_view found) {
-    m_problems.push_back(m_file + ": " + std::string(key) + ": expected " +
-                         std::string(expected) + ", found " + std::string(found));
+    m_problems.push_back(m_file + ": " + std::string(key) + ": expected " + std::string(expected) +
+                         ", found " + std::string(found));
 }
 
 std::string SettingsReader::text(std::string_view key, std::string_view otherwise) {
--- a/src/config/Snapshot.cpp
+++ b/src/config/Snapshot.cpp
@@ -3,8 +3,8 @@
 #include "include/base/Hash.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <openssl/evp.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
--- a/src/idempotency/KeyOwner.cpp
+++ b/src/idempotency/KeyOwner.cpp
@@ -13,8 +13,8 @@
     return out;
 }
 
-void KeyOwner::refuse(uint64_t request, RefusalReason reason, RunOutcome outcome,
-                      Millis retryAfter, const char* detail, Actions& out) {
+void KeyOwner::refuse(uint64_t request, RefusalReason reason, RunOutcome outcome, Millis retryAfter,
+                      const char* detail, Actions& out) {
     out.emplace_back(KeyRefused{request, {reason, outcome, retryAfter, detail}});
 }
 
@@ -214,8 +214,7 @@
         }
     }
     for (auto& [member, moved] : entries) {
-        out.emplace_back(SendLedger{
-            member,
+        out.emplace_back(SendLedger{member,
                                     m_move->epoch,
                                     {m_move->since, m_move->before, m_move->after},
                                     std::move(moved)});
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -6,8 +6,7 @@
 
 namespace onyx {
 
-PeerTable::PeerTable(PeerInfo self, Millis timeout)
-    : m_self(std::move(self)), m_timeout(timeout) {}
+PeerTable::PeerTable(PeerInfo self, Millis timeout) : m_self(std::move(self)), m_timeout(timeout) {}
 
 void PeerTable::greeted(const PeerInfo& peer, MonoTime now) {
     std::erase_if(m_peers, [&](const auto& entry) {
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -81,8 +81,7 @@
     stream->m_head.status = head.result_int();
     stream->m_head.contentType = std::string(head[http::field::content_type]);
     for (const auto& field : head) {
-        stream->m_head.headers.emplace_back(Lower(field.name_string()),
-                                            std::string(field.value()));
+        stream->m_head.headers.emplace_back(Lower(field.name_string()), std::string(field.value()));
     }
     co_return stream;
 }
--- a/src/net/Net.cpp
+++ b/src/net/Net.cpp
@@ -17,7 +17,8 @@
     using std::chrono::milliseconds;
     const auto mono = std::chrono::steady_clock::now().time_since_epoch();
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    return {{duration_cast<milliseconds>(mono).count()}, {duration_cast<milliseconds>(wall).count()}};
+    return {{duration_cast<milliseconds>(mono).count()},
+            {duration_cast<milliseconds>(wall).count()}};
 }
 
 Result<Endpoint> ParseEndpoint(std::string_view text) {
--- a/src/observe/Burn.cpp
+++ b/src/observe/Burn.cpp
@@ -67,8 +67,8 @@
 }
 
 std::string_view BurnVerdict(const BurnRow& row) {
-    const double least = std::min(BurnRate(row.shortWindow, row.objective),
-                                  BurnRate(row.longWindow, row.objective));
+    const double least =
+        std::min(BurnRate(row.shortWindow, row.objective), BurnRate(row.longWindow, row.objective));
     if (least >= kPageBurn) {
         return "page";
     }
@@ -76,9 +76,9 @@
 }
 
 std::string BurnTable(const std::vector<BurnRow>& rows) {
-    std::string out = fmt::format("{:<14} {:<14} {:<11} {:>9} {:>8} {:>11} {:>8} {:>11}  {}\n",
-                                  "SERVICE", "TEAM", "PRIORITY", "OBJECTIVE", "SHORT", "BURN",
-                                  "LONG", "BURN", "VERDICT");
+    std::string out =
+        fmt::format("{:<14} {:<14} {:<11} {:>9} {:>8} {:>11} {:>8} {:>11}  {}\n", "SERVICE", "TEAM",
+                    "PRIORITY", "OBJECTIVE", "SHORT", "BURN", "LONG", "BURN", "VERDICT");
     for (const BurnRow& row : rows) {
         out += fmt::format("{:<14} {:<14} {:<11} {:>9.3f} {:>8} {:>11.2f} {:>8} {:>11.2f}  {}\n",
                            row.key.service, row.key.team, row.key.priority, row.objective,
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -1,8 +1,8 @@
 #include "include/observe/Events.h"
 
-#include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <nlohmann/json.hpp>
 
 namespace onyx {
 
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -71,9 +71,8 @@
 
 void Metrics::observe(std::string_view name, const MetricLabels& labels, double value) {
     const std::string series = SeriesName(name, labels);
-    const auto it = m_summaries
-                        .try_emplace(series, acc::extended_p_square_probabilities = kQuantiles)
-                        .first;
+    const auto it =
+        m_summaries.try_emplace(series, acc::extended_p_square_probabilities = kQuantiles).first;
     it->second(value);
 }
 
@@ -92,8 +91,9 @@
     }
     for (const auto& [series, summary] : m_summaries) {
         for (const double quantile : kQuantiles) {
-            out += fmt::format("{} {}\n", WithLabel(series, fmt::format("quantile=\"{}\"", quantile)),
-                               acc::quantile(summary, acc::quantile_probability = quantile));
+            out +=
+                fmt::format("{} {}\n", WithLabel(series, fmt::format("quantile=\"{}\"", quantile)),
+                            acc::quantile(summary, acc::quantile_probability = quantile));
         }
         out += fmt::format("{} {}\n", WithSuffix(series, "_sum"), acc::sum(summary));
         out += fmt::format("{} {}\n", WithSuffix(series, "_count"), acc::count(summary));
--- a/src/placement/EntryPlacement.cpp
+++ b/src/placement/EntryPlacement.cpp
@@ -2,8 +2,7 @@
 
 namespace onyx {
 
-EntryPlacement::EntryPlacement(std::vector<EngineChoice> choices)
-    : m_choices(std::move(choices)) {}
+EntryPlacement::EntryPlacement(std::vector<EngineChoice> choices) : m_choices(std::move(choices)) {}
 
 std::optional<PlacementAsk> EntryPlacement::ask(const EngineId& engine, bool followNote,
                                                 bool mayQueue) {
--- a/src/placement/HomeAdmission.cpp
+++ b/src/placement/HomeAdmission.cpp
@@ -156,12 +156,13 @@
         return Refused{ask.ticket,
                        {RefusalReason::kDeadline, RunOutcome::kNotRun, wait, "deadline passed"}};
     }
-    const bool queued = queueOf(ask.service).push({.ticket = ask.ticket,
-                                      .team = ask.team,
-                                      .priority = ask.priority,
-                                      .weight = ask.weight,
-                                      .deadline = ask.deadline,
-                                      .queuedAt = now});
+    const bool queued = queueOf(ask.service)
+                            .push({.ticket = ask.ticket,
+                                   .team = ask.team,
+                                   .priority = ask.priority,
+                                   .weight = ask.weight,
+                                   .deadline = ask.deadline,
+                                   .queuedAt = now});
     if (!queued) {
         return Refused{ask.ticket,
                        {RefusalReason::kOverloaded, RunOutcome::kNotRun, wait, "queue is full"}};
@@ -185,8 +186,7 @@
     return std::nullopt;
 }
 
-HomeAdmission::Engine* HomeAdmission::roomFor(const ServiceId& service, double mean,
-                                              MonoTime now) {
+HomeAdmission::Engine* HomeAdmission::roomFor(const ServiceId& service, double mean, MonoTime now) {
     Engine* best = nullptr;
     for (auto& [id, engine] : m_engines) {
         const bool fits = engine.info.service == service && hasRoom(engine, mean, now);
--- a/src/platform/PlatformClient.cpp
+++ b/src/platform/PlatformClient.cpp
@@ -76,8 +76,8 @@
 
 Task<Result<std::optional<PlatformObject>>> PlatformClient::watch(std::string path, uint64_t known,
                                                                   Millis wait) {
-    const std::string target = "/v1/watch" + path + "?known=" + std::to_string(known) +
-                               "&wait_ms=" + std::to_string(wait);
+    const std::string target =
+        "/v1/watch" + path + "?known=" + std::to_string(known) + "&wait_ms=" + std::to_string(wait);
     auto answer = co_await call("GET", target, "", wait + kCallTimeout);
     if (answer.has_error()) {
         co_return std::move(answer).error();
--- a/src/router/Filters.cpp
+++ b/src/router/Filters.cpp
@@ -137,8 +137,9 @@
     } else if (target.starts_with(kServicePrefix)) {
         problem = ReadPlain(call, target);
     } else {
-        problem = BadRequest(404, "path", "expected " + std::string(kChatPath) + " or " +
-                                              std::string(kServicePrefix) + "{service}/...");
+        problem = BadRequest(404, "path",
+                             "expected " + std::string(kChatPath) + " or " +
+                                 std::string(kServicePrefix) + "{service}/...");
     }
     if (!problem) {
         problem = ReadPriority(call);
--- a/src/router/HomeController.cpp
+++ b/src/router/HomeController.cpp
@@ -152,8 +152,7 @@
     Spawn(m_context.executor, runAdmitted(admitted.ticket, admitted.engine));
 }
 
-void HomeController::verdict(Ticket ticket, wire::Verdict kind, const EngineId& engine,
-                             int load) {
+void HomeController::verdict(Ticket ticket, wire::Verdict kind, const EngineId& engine, int load) {
     const Run& run = m_runs.at(ticket);
     wire::RunVerdictT verdict;
     verdict.id = run.askerId;
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -128,8 +128,7 @@
     LedgerReceived received;
     received.from = from;
     received.epoch = message.epoch;
-    received.handover = {
-        {message.since_ms}, MembersOf(message.before), MembersOf(message.members)};
+    received.handover = {{message.since_ms}, MembersOf(message.before), MembersOf(message.members)};
     for (const auto& in : message.entries) {
         KeyEntry entry;
         entry.key = in->key;
@@ -180,9 +179,9 @@
         if (lease != m_hadLease) {
             m_hadLease = lease;
             const bool promised = m_owner.keeper().promised(now);
-            logEvent(lease ? Event::kLeaseHeld : Event::kLeaseLost,
-                     {{"member", m_owner.keeper().self().value},
-                      {"promised", promised ? "yes" : "no"}});
+            logEvent(
+                lease ? Event::kLeaseHeld : Event::kLeaseLost,
+                {{"member", m_owner.keeper().self().value}, {"promised", promised ? "yes" : "no"}});
         }
         co_await SleepFor(kTick);
     }
@@ -229,8 +228,8 @@
     ask.key = request.key;
     ask.mintedAt = KeyMintTime(request.key).value_or(WallTime{});
     const std::string body(request.body.begin(), request.body.end());
-    ask.digest = HashText(request.service + " " + request.method + " " + request.target + "\n" +
-                          body);
+    ask.digest =
+        HashText(request.service + " " + request.method + " " + request.target + "\n" + body);
     ask.deadline = ReadClocks().mono + request.deadline_in_ms;
     Waiting& waiting = m_waiting[number];
     waiting.askerId = request.id;
@@ -353,9 +352,9 @@
     const MemberId owner = ProcessOf(action.owner);
     const bool again = node.mapped().request.attempt >= kMostForwards;
     if (again || !m_table.isLive(owner, ReadClocks().mono)) {
-        refuse(node.mapped(), {RefusalReason::kOwnerAway, RunOutcome::kUnknown,
-                               again ? KeyOwner::kMovingRetry : kAwayRetry,
-                               "the key's owner cannot be reached"});
+        refuse(node.mapped(),
+               {RefusalReason::kOwnerAway, RunOutcome::kUnknown,
+                again ? KeyOwner::kMovingRetry : kAwayRetry, "the key's owner cannot be reached"});
         return;
     }
     Spawn(m_context.executor, forward(std::move(node.mapped()), owner));
@@ -490,8 +489,7 @@
 
 void KeyController::callRoster(uint64_t call, wire::PlatformCallT message) {
     m_agent.call(std::move(message), [this, call](const wire::PlatformReplyT& reply) {
-        const RosterReply event{call, StatusOf(reply.status), reply.version,
-                                RosterOf(reply.value)};
+        const RosterReply event{call, StatusOf(reply.status), reply.version, RosterOf(reply.value)};
         // Never from inside a step: the link may answer at once.
         asio::post(m_context.executor, [this, event] { feed(KeeperEvent(event)); });
     });
--- a/src/router/KeyTrace.cpp
+++ b/src/router/KeyTrace.cpp
@@ -89,15 +89,14 @@
 namespace {
 
 // Names of the alternatives, in the order of the variants.
-constexpr std::array kKeeperEvents = {"tick",         "roster_reply",  "lease_reply",
-                                      "consent_asked", "consent_answered", "promise_asked",
-                                      "promise_answered", "members_live", "epoch_seen",
-                                      "handover_taken", "boxes_listed", "leave_roster"};
+constexpr std::array kKeeperEvents = {
+    "tick",          "roster_reply",     "lease_reply",  "consent_asked", "consent_answered",
+    "promise_asked", "promise_answered", "members_live", "epoch_seen",    "handover_taken",
+    "boxes_listed",  "leave_roster"};
 constexpr std::array kKeyEvents = {"ask", "done", "ledger_received"};
-constexpr std::array kKeeperActions = {"read_roster",  "write_roster",   "read_lease",
-                                       "write_lease",  "ask_consent",    "answer_consent",
-                                       "ask_promise",  "answer_promise", "epoch_taken",
-                                       "rejoined",     "consented",      "left_roster"};
+constexpr std::array kKeeperActions = {
+    "read_roster", "write_roster",   "read_lease",  "write_lease", "ask_consent", "answer_consent",
+    "ask_promise", "answer_promise", "epoch_taken", "rejoined",    "consented",   "left_roster"};
 constexpr std::array kKeyActions = {"run", "ran", "refused", "elsewhere", "send_ledger"};
 static_assert(kKeeperEvents.size() == std::variant_size_v<KeeperEvent>);
 static_assert(kKeyEvents.size() + 1 == std::variant_size_v<KeyEvent>);
@@ -112,8 +111,8 @@
 
 // Reads the alternative that is called `name`, if it is one of `Variant`'s.
 template <class Variant, size_t I = 0, size_t N>
-bool ReadTagged(const std::string& name, const json& body,
-                const std::array<const char*, N>& names, Variant& out) {
+bool ReadTagged(const std::string& name, const json& body, const std::array<const char*, N>& names,
+                Variant& out) {
     if constexpr (I < N) {
         if (name == names[I]) {
             out = body.get<std::variant_alternative_t<I, Variant>>();
--- a/src/router/KeyedCall.cpp
+++ b/src/router/KeyedCall.cpp
@@ -23,8 +23,7 @@
 }
 
 Task<CallResult> KeyedCall::serve() {
-    const MonoTime patience =
-        std::min(m_call.deadline, ReadClocks().mono + kMostMovingWait);
+    const MonoTime patience = std::min(m_call.deadline, ReadClocks().mono + kMostMovingWait);
     while (true) {
         const Refusal refusal = co_await askOwner();
         if (m_answered) {
@@ -72,8 +71,7 @@
     }
     wire::RunRequestT request = makeRequest();
     const uint64_t id = request.id;
-    const std::shared_ptr<RunChannel> channel =
-        m_dispatch.peers.open(*owner, std::move(request));
+    const std::shared_ptr<RunChannel> channel = m_dispatch.peers.open(*owner, std::move(request));
     Refusal refusal = co_await awaitAnswer(*channel);
     m_dispatch.peers.forget(id);
     co_return refusal;
--- a/src/router/PlacedCall.cpp
+++ b/src/router/PlacedCall.cpp
@@ -154,8 +154,7 @@
 }
 
 Task<PlacedCall::Step> PlacedCall::awaitVerdict(const PlacementAsk& ask) {
-    const Millis patience =
-        ask.mayQueue ? left() : std::min(left(), m_context.settings.hopTimeout);
+    const Millis patience = ask.mayQueue ? left() : std::min(left(), m_context.settings.hopTimeout);
     RunMessage message = co_await m_channel->receive(std::max<Millis>(patience, 1));
     const auto* verdict = std::get_if<wire::RunVerdictT>(&message);
     if (verdict == nullptr) {
@@ -179,10 +178,10 @@
             m_placement.goTo(EngineId(verdict->engine));
             co_return Step::kNextEngine;
         case wire::Verdict::Refused:
-            m_refusal = Refusal{static_cast<RefusalReason>(verdict->reason),
-                                m_written ? RunOutcome::kUnknown
-                                          : static_cast<RunOutcome>(verdict->outcome),
-                                verdict->retry_after_ms, verdict->detail};
+            m_refusal = Refusal{
+                static_cast<RefusalReason>(verdict->reason),
+                m_written ? RunOutcome::kUnknown : static_cast<RunOutcome>(verdict->outcome),
+                verdict->retry_after_ms, verdict->detail};
             co_await giveUp(*m_refusal);
             co_return Step::kFinished;
         case wire::Verdict::Admitted:
@@ -232,8 +231,7 @@
         co_return true;
     }
     if (!m_call.exchange.started()) {
-        const HttpHeaders headers = {{"Onyx-Engine", m_engine.value},
-                                     {"Onyx-Home", m_home.value}};
+        const HttpHeaders headers = {{"Onyx-Engine", m_engine.value}, {"Onyx-Home", m_home.value}};
         if (!co_await m_call.exchange.startStream(200, headers, kEventStream)) {
             m_callerGone = true;
             co_return false;
@@ -329,9 +327,8 @@
 }
 
 Task<> PlacedCall::finishWhole(const wire::RunEndT& end) {
-    const HttpHeaders headers = {{"Onyx-Outcome", "ran"},
-                                 {"Onyx-Engine", m_engine.value},
-                                 {"Onyx-Home", m_home.value}};
+    const HttpHeaders headers = {
+        {"Onyx-Outcome", "ran"}, {"Onyx-Engine", m_engine.value}, {"Onyx-Home", m_home.value}};
     if (!m_call.service->chat) {
         co_await m_call.exchange.respond(end.status, headers, end.content_type, m_text);
         co_return;
--- a/src/router/Router.cpp
+++ b/src/router/Router.cpp
@@ -21,8 +21,7 @@
     : m_io(io),
       m_context(io.get_executor(), std::move(settings)),
       m_acceptor(std::move(acceptor)),
-      m_table({m_context.self, ZoneId(m_context.settings.zone),
-               m_context.settings.advertised},
+      m_table({m_context.self, ZoneId(m_context.settings.zone), m_context.settings.advertised},
               m_context.settings.peerTimeout),
       m_home(m_context, m_table),
       m_peers(m_context, m_table, m_home),
@@ -33,9 +32,8 @@
     m_peers.setOnKeyed([this](const MemberId& asker, wire::RunRequestT request, RunSink sink) {
         m_keys.onRun(asker, std::move(request), std::move(sink));
     });
-    m_peers.setOnMessage([this](const MemberId& from, wire::BodyUnion& body) {
-        m_keys.onMessage(from, body);
-    });
+    m_peers.setOnMessage(
+        [this](const MemberId& from, wire::BodyUnion& body) { m_keys.onMessage(from, body); });
     m_peers.setOnDigest([this](const MemberId& from, const wire::DigestT& digest) {
         m_keys.onDigest(from, digest);
     });
@@ -62,15 +60,13 @@
     const Endpoint metrics = settings.metrics;
     std::unique_ptr<Router> router(new Router(io, std::move(settings), std::move(acceptor)));
     Router& self = *router;
-    auto callerServer = HttpServer::Make(io, callers, {}, [&self](HttpExchange& exchange) {
-        return self.handleCall(exchange);
-    });
+    auto callerServer = HttpServer::Make(
+        io, callers, {}, [&self](HttpExchange& exchange) { return self.handleCall(exchange); });
     if (callerServer.has_error()) {
         return std::move(callerServer).error();
     }
-    auto metricsServer = HttpServer::Make(io, metrics, {}, [&self](HttpExchange& exchange) {
-        return self.handleMetrics(exchange);
-    });
+    auto metricsServer = HttpServer::Make(
+        io, metrics, {}, [&self](HttpExchange& exchange) { return self.handleMetrics(exchange); });
     if (metricsServer.has_error()) {
         return std::move(metricsServer).error();
     }
@@ -148,8 +144,8 @@
         // For a key, an earlier attempt may have run elsewhere: only its owner may say not-run.
         const RunOutcome outcome = call.key.empty() ? RunOutcome::kNotRun : RunOutcome::kUnknown;
         m_context.metrics.count("onyx_refused_total", {{"type", "team-limit"}});
-        const Problem full = ProblemOf(
-            {RefusalReason::kTeamLimit, outcome, kComeBackSoon, "team " + team.value});
+        const Problem full =
+            ProblemOf({RefusalReason::kTeamLimit, outcome, kComeBackSoon, "team " + team.value});
         co_await SendProblem(exchange, full);
         co_return;
     }
@@ -188,8 +184,7 @@
     Metrics& metrics = m_context.metrics;
     metrics.set("onyx_config_revision", {}, static_cast<double>(m_context.config.revision()));
     metrics.set("onyx_home_active", {}, static_cast<double>(m_home.active()));
-    metrics.set("onyx_peers", {},
-                static_cast<double>(m_table.reachable(ReadClocks().mono).size()));
+    metrics.set("onyx_peers", {}, static_cast<double>(m_table.reachable(ReadClocks().mono).size()));
     metrics.set("onyx_control_bytes_sent", {}, static_cast<double>(m_peers.controlBytesSent()));
     for (const EngineLoad& load : m_home.loads()) {
         metrics.set("onyx_engine_load", {{"engine", load.engine.value}}, load.load);
--- a/src/router/RouterSettings.cpp
+++ b/src/router/RouterSettings.cpp
@@ -8,7 +8,8 @@
 
 void ReadHome(SettingsReader& reader, HomeSettings& home) {
     home.queue.most = static_cast<size_t>(reader.number("queue.most", 256, 1, 1000000));
-    home.queue.mostOfTeam = static_cast<size_t>(reader.number("queue.most_of_team", 64, 1, 1000000));
+    home.queue.mostOfTeam =
+        static_cast<size_t>(reader.number("queue.most_of_team", 64, 1, 1000000));
     home.queue.mostWait = reader.number("queue.most_wait_ms", 10000, 1, kDay);
     home.mostNotes = static_cast<size_t>(reader.number("placement.most_notes", 20000, 1, 10000000));
     home.noteAge = reader.number("placement.note_age_ms", 4LL * 3600 * 1000, 1, kDay);
--- a/src/standin/FakeEngine.cpp
+++ b/src/standin/FakeEngine.cpp
@@ -130,9 +130,9 @@
         co_await exchange.respond(400, {}, kJson, R"({"error":"messages: expected a list"})");
         co_return;
     }
-    const bool share = m_faults.failShare > 0 &&
-                       std::fmod(static_cast<double>(m_requests) * m_faults.failShare, 1.0) <
-                           m_faults.failShare;
+    const bool share =
+        m_faults.failShare > 0 &&
+        std::fmod(static_cast<double>(m_requests) * m_faults.failShare, 1.0) < m_faults.failShare;
     if (m_faults.failCount > 0 || share) {
         m_faults.failCount = std::max(0, m_faults.failCount - 1);
         co_await exchange.respond(500, {}, kJson, R"({"error":"failed"})");
@@ -154,8 +154,8 @@
     run->cachedTokens = lookUp(std::string(exchange.header("X-Cache-Key")), run->promptTokens);
     m_promptTokens += run->promptTokens;
     m_cachedTokens += run->cachedTokens;
-    run->prefillLeft = static_cast<Millis>(m_settings.prefillPerToken *
-                                           (run->promptTokens - run->cachedTokens));
+    run->prefillLeft =
+        static_cast<Millis>(m_settings.prefillPerToken * (run->promptTokens - run->cachedTokens));
     run->wake = std::make_shared<asio::steady_timer>(m_context);
     m_waiting.push_back(run);
     recordLoad();
@@ -200,7 +200,8 @@
         const json event = {
             {"id", id},
             {"token_index", index},
-            {"choices", {{{"index", 0}, {"delta", {{"content", AnswerToken(run->prompt, index)}}}}}}};
+            {"choices",
+             {{{"index", 0}, {"delta", {{"content", AnswerToken(run->prompt, index)}}}}}}};
         std::string line = "data: " + event.dump() + "\n\n";
         if (m_faults.repeatCount > 0) {
             --m_faults.repeatCount;
@@ -277,12 +278,10 @@
     if (!text.empty()) {
         logEvent(Event::kFaultSet, {{"body", text}});
     }
-    const json state = {{"requests", m_requests},
-                        {"served", m_served},
-                        {"cancelled", m_cancelled},
-                        {"in_flight", m_batch.size() + m_waiting.size()},
-                        {"prompt_tokens", m_promptTokens},
-                        {"cached_tokens", m_cachedTokens}};
+    const json state = {
+        {"requests", m_requests},          {"served", m_served},
+        {"cancelled", m_cancelled},        {"in_flight", m_batch.size() + m_waiting.size()},
+        {"prompt_tokens", m_promptTokens}, {"cached_tokens", m_cachedTokens}};
     co_await exchange.respond(200, {}, kJson, state.dump());
 }
 
--- a/src/standin/LoadRun.cpp
+++ b/src/standin/LoadRun.cpp
@@ -62,21 +62,21 @@
 }  // namespace
 
 std::string LoadReport::json(bool withKeys) const {
-    nlohmann::json out = {{"answered", answered},
-                          {"wrong", wrong},
-                          {"refused", refused},
-                          {"failed", failed},
-                          {"keys_ran", keysRan},
-                          {"keys_not_run", keysNotRun},
-                          {"keys_unknown", keysUnknown},
-                          {"key_tries", keyTries},
-                          {"prompt_tokens", promptTokens},
-                          {"cached_tokens", cachedTokens},
-                          {"by_engine", byEngine},
-                          {"by_problem", byProblem},
-                          {"first_byte_ms",
-                           {{"p50", Quantile(firstByte, 0.5)}, {"p95", Quantile(firstByte, 0.95)}}},
-                          {"wrong_texts", wrongTexts}};
+    nlohmann::json out = {
+        {"answered", answered},
+        {"wrong", wrong},
+        {"refused", refused},
+        {"failed", failed},
+        {"keys_ran", keysRan},
+        {"keys_not_run", keysNotRun},
+        {"keys_unknown", keysUnknown},
+        {"key_tries", keyTries},
+        {"prompt_tokens", promptTokens},
+        {"cached_tokens", cachedTokens},
+        {"by_engine", byEngine},
+        {"by_problem", byProblem},
+        {"first_byte_ms", {{"p50", Quantile(firstByte, 0.5)}, {"p95", Quantile(firstByte, 0.95)}}},
+        {"wrong_texts", wrongTexts}};
     if (withKeys) {
         out["keys"] = keys;
     }
@@ -106,7 +106,8 @@
     std::uniform_real_distribution<double> share(0, 1);
     while (m_sent < m_settings.requests && ReadClocks().mono < m_end) {
         ++m_sent;
-        const bool keyed = !m_settings.keyedService.empty() && share(m_random) < m_settings.keyedShare;
+        const bool keyed =
+            !m_settings.keyedService.empty() && share(m_random) < m_settings.keyedShare;
         if (keyed) {
             co_await keyedRequest();
         } else {
@@ -131,7 +132,8 @@
     Chat& chat = m_chats[index];
     json messages = json::array();
     for (int turn = 0; turn <= chat.turns; ++turn) {
-        messages.push_back({{"role", "user"}, {"content", fmt::format("{} turn {}", chat.id, turn)}});
+        messages.push_back(
+            {{"role", "user"}, {"content", fmt::format("{} turn {}", chat.id, turn)}});
     }
     const std::string prompt = messages.dump();
     const json body = {{"model", m_settings.model},
@@ -192,7 +194,8 @@
         ++m_report.byProblem["error event"];
         return;
     }
-    const bool right = whole && text == AnswerOf(prompt, static_cast<uint32_t>(m_settings.maxTokens));
+    const bool right =
+        whole && text == AnswerOf(prompt, static_cast<uint32_t>(m_settings.maxTokens));
     if (!right) {
         ++m_report.wrong;
         if (m_report.wrongTexts.size() < kMostWrongTexts) {
--- a/src/upstream/EngineClient.cpp
+++ b/src/upstream/EngineClient.cpp
@@ -64,8 +64,8 @@
         }
         const EventKind kind = ReadEvent(line.substr(kDataPrefix.size()), run, onToken, end);
         if (kind == EventKind::kForeign || kind == EventKind::kMalformed) {
-            end.detail = kind == EventKind::kForeign ? "answer of another request"
-                                                     : "malformed event";
+            end.detail =
+                kind == EventKind::kForeign ? "answer of another request" : "malformed event";
             return false;
         }
         state.finished = state.finished || kind == EventKind::kFinish;
@@ -94,9 +94,8 @@
     request.method = "POST";
     request.target = "/v1/chat/completions";
     request.contentType = "application/json";
-    request.headers = {{"X-Request-Id", run.upstreamId},
-                       {"X-Cache-Key", run.chat},
-                       {"X-Priority", run.priority}};
+    request.headers = {
+        {"X-Request-Id", run.upstreamId}, {"X-Cache-Key", run.chat}, {"X-Priority", run.priority}};
     request.body = body.dump();
     auto opened = co_await m_http.open(run.engine, std::move(request), run.headTimeout);
     if (opened.has_error()) {
--- a/src/wire/FrameLink.cpp
+++ b/src/wire/FrameLink.cpp
@@ -45,8 +45,7 @@
     co_return co_await Accept(std::move(socket), std::move(hello));
 }
 
-Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Accept(Tcp::socket socket,
-                                                           wire::HelloT hello) {
+Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Accept(Tcp::socket socket, wire::HelloT hello) {
     using namespace asio::experimental::awaitable_operators;
     std::shared_ptr<FrameLink> link(new FrameLink(std::move(socket)));
     auto raced = co_await (link->greet(std::move(hello)) || SleepFor(kGreetingTimeout));
@@ -118,8 +117,7 @@
         auto frame = co_await readFrame();
         if (frame.has_error()) {
             if (frame.error().code == ErrorCode::kProtocol) {
-                logEvent(Event::kFrameBad,
-                         {{"peer", m_address}, {"error", frame.error().text()}});
+                logEvent(Event::kFrameBad, {{"peer", m_address}, {"error", frame.error().text()}});
             }
             break;
         }
--- a/tests/EntryPlacementTest.cpp
+++ b/tests/EntryPlacementTest.cpp
@@ -15,8 +15,8 @@
 }  // namespace
 
 TEST_CASE("The order is first choice, near ones, far ones, then the queue") {
-    EntryPlacement placement({Choice("a", true, true), Choice("b", true, true), Choice("c"),
-                              Choice("z", false)});
+    EntryPlacement placement(
+        {Choice("a", true, true), Choice("b", true, true), Choice("c"), Choice("z", false)});
     CHECK(placement.next()->followNote);
     CHECK(placement.next()->engine == EngineId("c"));  // b is said to be full.
     CHECK(placement.next()->engine == EngineId("z"));
--- a/tests/KeyOwnerExploreTest.cpp
+++ b/tests/KeyOwnerExploreTest.cpp
@@ -48,8 +48,7 @@
     explored.executions += walk.executions();
 }
 
-Explored ExploreAll(size_t boxes, int end, int stride, int faults,
-                    const KeeperSettings& settings) {
+Explored ExploreAll(size_t boxes, int end, int stride, int faults, const KeeperSettings& settings) {
     KeyWorld world(boxes, settings);
     for (int i = 0; i < kWarmUp; ++i) {
         world.step();
--- a/tests/KeyWorld.cpp
+++ b/tests/KeyWorld.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Millis kLongPause = 110;   // More than a lease and its margin.
+constexpr Millis kLongPause = 110;  // More than a lease and its margin.
 constexpr Millis kCutTime = 90;
 constexpr Millis kOutageTime = 160;
 
@@ -189,10 +189,10 @@
     if (const auto* ask = std::get_if<AskConsent>(&action)) {
         sendTo(ask->to, index, KeeperEvent(ConsentAsked{self, ask->epoch, ask->members}));
     } else if (const auto* answer = std::get_if<AnswerConsent>(&action)) {
-        sendTo(answer->to, index, KeeperEvent(ConsentAnswered{self, answer->epoch, answer->granted}));
+        sendTo(answer->to, index,
+               KeeperEvent(ConsentAnswered{self, answer->epoch, answer->granted}));
     } else if (const auto* promise = std::get_if<AskPromise>(&action)) {
-        sendTo(promise->to, index,
-               KeeperEvent(PromiseAsked{self, promise->round, promise->epoch}));
+        sendTo(promise->to, index, KeeperEvent(PromiseAsked{self, promise->round, promise->epoch}));
     } else if (const auto* given = std::get_if<AnswerPromise>(&action)) {
         sendTo(given->to, index,
                KeeperEvent(PromiseAnswered{self, given->round, given->epoch, given->granted}));
@@ -218,8 +218,8 @@
 
 void KeyWorld::callPlatform(size_t index, const KeeperAction& action) {
     Box& box = m_boxes[index];
-    const bool writes = std::holds_alternative<WriteLease>(action) ||
-                        std::holds_alternative<WriteRoster>(action);
+    const bool writes =
+        std::holds_alternative<WriteLease>(action) || std::holds_alternative<WriteRoster>(action);
     const bool down = m_outageUntil > m_time || box.platformCutUntil > m_time;
     KeyEvent reply;
     if (down) {
--- a/tests/KeyWorld.h
+++ b/tests/KeyWorld.h
@@ -20,16 +20,16 @@
     static constexpr size_t kKeysAsked = 5;  // Latest keys that are asked for in each step.
 
     enum class Fault : uint8_t {
-        kCrash,           // The box is replaced by a fresh life.
-        kPause,           // It stops for longer than its lease and wakes.
-        kPauseAtWrite,    // It stops between its last check and the write to the upstream.
-        kCut,             // It hears no other box for a while.
-        kCutPlatform,     // It cannot reach the platform for a while.
-        kCutBoth,         // Both.
-        kLoseAnswer,      // Its next write takes effect and the answer is lost.
-        kLateWrite,       // Its next write takes effect much later; the answer is lost.
-        kOutage,          // The platform is down for all.
-        kLeave,           // A planned stop.
+        kCrash,         // The box is replaced by a fresh life.
+        kPause,         // It stops for longer than its lease and wakes.
+        kPauseAtWrite,  // It stops between its last check and the write to the upstream.
+        kCut,           // It hears no other box for a while.
+        kCutPlatform,   // It cannot reach the platform for a while.
+        kCutBoth,       // Both.
+        kLoseAnswer,    // Its next write takes effect and the answer is lost.
+        kLateWrite,     // Its next write takes effect much later; the answer is lost.
+        kOutage,        // The platform is down for all.
+        kLeave,         // A planned stop.
         kCount
     };
 
--- a/tools/onyx-admin.cpp
+++ b/tools/onyx-admin.cpp
@@ -3,8 +3,8 @@
 #include "include/net/Program.h"
 #include "include/observe/Events.h"
 
-#include <CLI/CLI.hpp>
 #include <grpcpp/server_builder.h>
+#include <CLI/CLI.hpp>
 
 using namespace onyx;
 
@@ -51,8 +51,8 @@
         logEvent(Event::kListenFailed, {{"address", EndpointText(settings.listen)}});
         return kExitFailed;
     }
-    logEvent(Event::kStarted, {{"operators", settings.listen.address().to_string() + ":" +
-                                                 std::to_string(port)}});
+    logEvent(Event::kStarted,
+             {{"operators", settings.listen.address().to_string() + ":" + std::to_string(port)}});
     asio::io_context io(1);
     RunUntilStopped(io, [&] { io.stop(); });
     server->Shutdown();
--- a/tools/onyx-burn.cpp
+++ b/tools/onyx-burn.cpp
@@ -52,8 +52,7 @@
     io.run();
 }
 
-std::vector<BurnRow> Rows(const SloCounts& shortPart, const SloCounts& longPart,
-                          double objective) {
+std::vector<BurnRow> Rows(const SloCounts& shortPart, const SloCounts& longPart, double objective) {
     std::vector<BurnRow> rows;
     for (const auto& [key, count] : longPart) {
         const auto recent = shortPart.find(key);
@@ -118,7 +117,6 @@
     const SloCounts middle = ReadAll(boxes, unread);
     Pause(std::min(options.shortWindow, options.longWindow));
     const SloCounts last = ReadAll(boxes, unread);
-    Print(Rows(SloBetween(middle, last), SloBetween(first, last), options.objective),
-          options.json);
+    Print(Rows(SloBetween(middle, last), SloBetween(first, last), options.objective), options.json);
     return unread == 0 ? kExitOk : kExitFailed;
 }
--- a/tools/onyx-load.cpp
+++ b/tools/onyx-load.cpp
@@ -41,7 +41,8 @@
             return FailWith(endpoint.error());
         }
         if (!endpoint.value().address().is_loopback()) {
-            return FailWith({ErrorCode::kBadInput, "--target", text, "expected a loopback address"});
+            return FailWith(
+                {ErrorCode::kBadInput, "--target", text, "expected a loopback address"});
         }
         settings.targets.push_back(endpoint.value());
     }
