--- a/include/net/HttpServer.h
+++ b/include/net/HttpServer.h
@@ -23,8 +23,8 @@
 
 // Bounds on what a caller may send.
 struct HttpLimits {
-    size_t header = 16 * 1024;
-    size_t body = 4 * 1024 * 1024;
+    size_t header = size_t{16} * 1024;
+    size_t body = size_t{4} * 1024 * 1024;
     Millis readTimeout = 10000;   // For the rest of a request once its first byte came.
     Millis idleTimeout = 60000;   // Between requests.
     Millis writeTimeout = 30000;  // For one write: a caller that does not read is dropped.
--- a/include/placement/HomeAdmission.h
+++ b/include/placement/HomeAdmission.h
@@ -79,7 +79,7 @@
 struct HomeSettings {
     QueueLimits queue;
     size_t mostNotes = 20000;
-    Millis noteAge = 4 * 3600 * 1000;
+    Millis noteAge = Millis{4} * 3600 * 1000;
     Millis digestAge = 2000;
     int gainStep = 2;          // Room on a newly gained engine until its first report...
     Millis gainSettle = 3000;  // ...or until this much time has passed.
--- a/include/wire/FrameLink.h
+++ b/include/wire/FrameLink.h
@@ -16,7 +16,8 @@
 // A greeted link. Not thread safe: one io_context. Lives until closed; hold it by shared_ptr.
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
 public:
-    static constexpr size_t kMostQueuedBytes = 64 * 1024 * 1024;  // A peer that does not read.
+    static constexpr size_t kMostQueuedBytes =
+        size_t{64} * 1024 * 1024;  // A peer that does not read.
     static constexpr Millis kGreetingTimeout = 3000;
 
     using OnFrame = std::function<void(FrameLink&, wire::BodyUnion&)>;
--- a/src/agent/AgentSettings.cpp
+++ b/src/agent/AgentSettings.cpp
@@ -3,7 +3,7 @@
 namespace onyx {
 
 AgentSettings AgentSettings::Read(SettingsReader& reader) {
-    constexpr int64_t kHour = 3600 * 1000;
+    constexpr int64_t kHour = int64_t{3600} * 1000;
     AgentSettings settings;
     settings.box = reader.requiredText("box.name");
     settings.zone = reader.requiredText("box.zone");
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr size_t kPieceSize = 16 * 1024;
+constexpr size_t kPieceSize = size_t{16} * 1024;
 constexpr Millis kConnectTimeout = 1000;
 
 std::string Lower(std::string_view text) {
--- a/src/router/ConfigController.cpp
+++ b/src/router/ConfigController.cpp
@@ -17,6 +17,7 @@
         return false;
     }
     std::vector<ConfigShard> shards;
+    shards.reserve(offered.shards.size());
     for (const auto& shard : offered.shards) {
         shards.push_back({shard->name, shard->content});
     }
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -60,6 +60,7 @@
 
 std::vector<std::string> NamesOf(const std::vector<MemberId>& members) {
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const MemberId& member : members) {
         names.push_back(member.value);
     }
@@ -430,18 +431,18 @@
         wire::ConsentReplyT message;
         message.epoch = consent->epoch;
         message.granted = consent->granted;
-        sendToMember(consent->to, std::move(message));
+        sendToMember(consent->to, message);
     } else if (const auto* promise = std::get_if<AskPromise>(&action)) {
         wire::PromiseAskT message;
         message.round = promise->round;
         message.epoch = promise->epoch;
-        sendToMember(promise->to, std::move(message));
+        sendToMember(promise->to, message);
     } else if (const auto* given = std::get_if<AnswerPromise>(&action)) {
         wire::PromiseReplyT message;
         message.round = given->round;
         message.epoch = given->epoch;
         message.granted = given->granted;
-        sendToMember(given->to, std::move(message));
+        sendToMember(given->to, message);
     } else if (const auto* taken = std::get_if<EpochTaken>(&action)) {
         m_peers.setRosterEpoch(taken->epoch);
         std::set<MemberId> processes;
--- a/src/router/PeerController.cpp
+++ b/src/router/PeerController.cpp
@@ -176,6 +176,7 @@
 
 std::set<MemberId> PeerController::digestTargets() const {
     std::vector<MemberId> members;
+    members.reserve(m_links.size());
     for (const auto& [member, link] : m_links) {
         members.push_back(member);
     }
@@ -298,7 +299,7 @@
         if (link != m_links.end()) {
             wire::ConfigAskT ask;
             ask.have = m_context.config.revision();
-            link->second->send(std::move(ask));
+            link->second->send(ask);
         }
     }
 }
@@ -333,7 +334,7 @@
     if (link != m_links.end()) {
         wire::RunCancelT cancel;
         cancel.id = id;
-        link->second->send(std::move(cancel));
+        link->second->send(cancel);
     }
 }
 
--- a/src/upstream/EngineClient.cpp
+++ b/src/upstream/EngineClient.cpp
@@ -145,7 +145,7 @@
         // The end mark makes it whole, whatever becomes of the connection after it.
         if (state.done) {
             end.complete = true;
-            co_await handle->m_stream->read(kEndTimeout);
+            static_cast<void>(co_await handle->m_stream->read(kEndTimeout));
             break;
         }
     }
