Heal a restored store from the boxes, fetch configuration from peers by shard, smaller shards

Cause: after the platform is restored to an older version, an operator's next change got the number of a revision that boxes already had with another content, and never came into force. The admin service builds on the highest revision that a box has in force now. Test: configuration.sh, which failed on 'revision 5 is in force' before. Now 128 shards (17.5 KB), peers are asked only after 1.2 s, and send only the shards that differ.

--- a/include/admin/ConfigEditor.h
+++ b/include/admin/ConfigEditor.h
@@ -22,7 +22,7 @@
     std::map<std::string, std::string> shards;                    // Name to digest.
     std::vector<std::pair<std::string, uint64_t>> recentChanges;  // Change id, revision.
 
-    static constexpr size_t kRecentChanges = 256;
+    static constexpr size_t kRecentChanges = 64;
 
     // Parses the object's value; an empty one is revision 0. Errors: kBadInput.
     static Result<ConfigHead> Parse(const std::string& value);
--- a/include/config/Snapshot.h
+++ b/include/config/Snapshot.h
@@ -56,11 +56,12 @@
 
 // One shard as it stands in the platform.
 struct ConfigShard {
-    std::string name;     // services, engines, migration, or teams-NN.
+    std::string name;     // services, engines, migration, or teams-NNN.
     std::string content;  // JSON.
 };
 
-inline constexpr int kTeamShards = 16;
+// So many that one team's change is a small object at 16,000 teams (docs/CAPACITY.md).
+inline constexpr int kTeamShards = 128;
 
 // Name of the shard that holds `team`. Thread safety: any thread.
 std::string TeamShardName(const TeamId& team);
@@ -88,6 +89,8 @@
     uint64_t revision() const { return m_revision; }
     // The shards it was made from, to hand on to peers. Preconditions: none.
     std::span<const ConfigShard> shards() const { return m_shards; }
+    // A shard by name; null if none. Preconditions: none.
+    const ConfigShard* shard(std::string_view name) const;
     // The team that a token's digest stands for; null if none. Preconditions: none.
     const TeamConfig* teamByToken(std::string_view tokenSha256) const;
     // A service by name; null if none. Preconditions: none.
--- a/include/router/ConfigController.h
+++ b/include/router/ConfigController.h
@@ -31,10 +31,16 @@
     // Its revision; 0 before the first. Preconditions: none.
     uint64_t revision() const { return m_gate.inForce(); }
 
-    // The configuration in force as a message to a peer. Preconditions: none.
-    wire::ConfigSnapshotT toMessage() const;
+    // The configuration in force as an answer to a peer that has other shards already; those are
+    // named without their content. Preconditions: none.
+    wire::ConfigSnapshotT answerTo(const wire::ConfigAskT& ask) const;
+
+    // Asks a peer for a higher revision than the one in force. Preconditions: none.
+    wire::ConfigAskT makeAsk() const;
 
 private:
+    Result<std::vector<ConfigShard>> shardsOf(const wire::ConfigSnapshotT& offered) const;
+
     RevisionGate m_gate;
     std::shared_ptr<const Snapshot> m_current;
     std::vector<OnChange> m_listeners;
--- a/include/router/PeerController.h
+++ b/include/router/PeerController.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -104,6 +105,7 @@
     void onFrame(const std::shared_ptr<FrameLink>& link, wire::BodyUnion& body);
     void onRunRequest(const std::shared_ptr<FrameLink>& link, wire::RunRequestT request);
     void onDigest(const MemberId& box, const wire::DigestT& digest);
+    void askForConfig(const MemberId& box, uint64_t revision, MonoTime now);
     bool onRunMessage(wire::BodyUnion& body);
     void closed(const std::string& address, const MemberId& member);
     void checkHomes();
@@ -130,6 +132,7 @@
     uint64_t m_controlBytes = 0;
     uint64_t m_homesVersion = 0;
     MonoTime m_nextConfigAsk;
+    std::optional<MonoTime> m_behindSince;  // When a higher revision was first heard of.
 };
 
 }  // namespace onyx
--- a/src/admin/AdminService.cpp
+++ b/src/admin/AdminService.cpp
@@ -1,9 +1,7 @@
 #include "include/admin/AdminService.h"
 
+#include "include/admin/BoxQuery.h"
 #include "include/admin/ConfigStore.h"
-#include "include/wire/FrameLink.h"
-
-#include <boost/asio/this_coro.hpp>
 
 #include <optional>
 
@@ -13,9 +11,6 @@
 
 namespace {
 
-constexpr Millis kStatusTimeout = 2000;
-constexpr Millis kStatusStep = 5;
-
 grpc::Status ToGrpc(const Error& error) {
     switch (error.code) {
         case ErrorCode::kBadInput:
@@ -45,9 +40,42 @@
     return std::move(*result);
 }
 
+// The newest accepted configuration. A platform that was restored to an older version may have
+// forgotten what the boxes have in force; what was accepted never reverts, so theirs counts then.
+Task<Result<StoredConfig>> ReadNewest(PlatformClient& platform) {
+    ConfigStore store(platform);
+    auto stored = co_await store.read();
+    if (stored.has_error()) {
+        co_return std::move(stored).error();
+    }
+    auto boxes = co_await platform.boxes();
+    if (boxes.has_error()) {
+        co_return stored;
+    }
+    const std::vector<BoxAnswer> answers = co_await QueryBoxes(std::move(boxes).value());
+    const BoxAnswer* newest = nullptr;
+    for (const BoxAnswer& answer : answers) {
+        const uint64_t known = newest == nullptr ? stored.value().head.revision : newest->revision;
+        newest = answer.revision > known ? &answer : newest;
+    }
+    if (newest == nullptr) {
+        co_return stored;
+    }
+    const Endpoint address = ParseEndpoint(newest->box.address).value();
+    auto shards = co_await ReadConfigOf(address);
+    if (shards.has_error()) {
+        co_return std::move(shards).error();
+    }
+    StoredConfig healed = stored.value();
+    healed.head.revision = newest->revision;
+    healed.head.shards.clear();  // None is known to be in the platform: all are written again.
+    healed.shards = std::move(shards).value();
+    co_return healed;
+}
+
 Task<Result<uint64_t>> ApplyTask(PlatformClient& platform, const v1::ApplyRequest& request) {
     ConfigStore store(platform);
-    auto base = co_await store.read();
+    auto base = co_await ReadNewest(platform);
     if (base.has_error()) {
         co_return std::move(base).error();
     }
@@ -74,42 +102,8 @@
     co_return co_await store.commit(std::move(base).value(), editor.shards(), request.change_id());
 }
 
-// What one box says in its first digest.
-Task<> AskBox(Endpoint address, v1::BoxStatus* out, int* pending) {
-    wire::HelloT hello;
-    hello.box = "operator";
-    hello.role = wire::LinkRole::Operator;
-    auto connected = co_await FrameLink::Connect(address, std::move(hello));
-    if (connected.has_error()) {
-        out->set_detail(connected.error().text());
-        --*pending;
-        co_return;
-    }
-    const std::shared_ptr<FrameLink> link = connected.value();
-    auto answered = std::make_shared<bool>(false);
-    link->start(
-        [out, answered](FrameLink& self, wire::BodyUnion& body) {
-            if (const auto* digest = body.AsDigest()) {
-                out->set_reachable(true);
-                out->set_revision(digest->config_revision);
-                out->set_roster_epoch(digest->roster_epoch);
-                out->set_detail(digest->draining ? "draining" : "");
-                *answered = true;
-                self.close();
-            }
-        },
-        [](FrameLink&) {});
-    const MonoTime end = ReadClocks().mono + kStatusTimeout;
-    while (!*answered && link->open() && ReadClocks().mono < end) {
-        co_await SleepFor(kStatusStep);
-    }
-    link->close();
-    --*pending;
-}
-
 Task<Result<bool>> StatusTask(PlatformClient& platform, v1::StatusReply& reply) {
-    ConfigStore store(platform);
-    auto stored = co_await store.read();
+    auto stored = co_await ReadNewest(platform);
     if (stored.has_error()) {
         co_return std::move(stored).error();
     }
@@ -118,23 +112,17 @@
     if (boxes.has_error()) {
         co_return std::move(boxes).error();
     }
-    int pending = 0;
-    const auto executor = co_await asio::this_coro::executor;
-    for (const PlatformBox& box : boxes.value()) {
-        const auto address = ParseEndpoint(box.address);
-        if (address.has_error()) {
-            continue;  // An upstream's box.
-        }
+    const std::vector<BoxAnswer> answers = co_await QueryBoxes(std::move(boxes).value());
+    for (const BoxAnswer& answer : answers) {
         v1::BoxStatus* out = reply.add_boxes();
-        out->set_box(box.name);
-        out->set_zone(box.zone);
-        out->set_address(box.address);
-        out->set_leaving(box.leaving);
-        ++pending;
-        Spawn(executor, AskBox(address.value(), out, &pending));
-    }
-    while (pending > 0) {
-        co_await SleepFor(kStatusStep);
+        out->set_box(answer.box.name);
+        out->set_zone(answer.box.zone);
+        out->set_address(answer.box.address);
+        out->set_leaving(answer.box.leaving);
+        out->set_reachable(answer.reachable);
+        out->set_revision(answer.revision);
+        out->set_roster_epoch(answer.rosterEpoch);
+        out->set_detail(answer.draining ? "draining" : answer.detail);
     }
     co_return true;
 }
@@ -162,8 +150,7 @@
 grpc::Status AdminService::Get(grpc::ServerContext*, const v1::GetRequest*, v1::GetReply* reply) {
     asio::io_context io(1);
     PlatformClient platform(io.get_executor(), m_platform);
-    ConfigStore store(platform);
-    const auto stored = RunTask(io, store.read());
+    const auto stored = RunTask(io, ReadNewest(platform));
     if (stored.has_error()) {
         return ToGrpc(stored.error());
     }
--- a/src/config/Snapshot.cpp
+++ b/src/config/Snapshot.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 std::string TeamShardName(const TeamId& team) {
-    return fmt::format("teams-{:02}", HashText(team.value) % kTeamShards);
+    return fmt::format("teams-{:03}", HashText(team.value) % kTeamShards);
 }
 
 std::string ShardDigest(std::string_view content) {
@@ -211,6 +211,12 @@
     return std::shared_ptr<const Snapshot>(std::move(snapshot));
 }
 
+const ConfigShard* Snapshot::shard(std::string_view name) const {
+    const auto it = std::find_if(m_shards.begin(), m_shards.end(),
+                                 [&](const ConfigShard& shard) { return shard.name == name; });
+    return it == m_shards.end() ? nullptr : &*it;
+}
+
 const TeamConfig* Snapshot::teamByToken(std::string_view tokenSha256) const {
     const auto it = m_byToken.find(std::string(tokenSha256));
     return it == m_byToken.end() ? nullptr : &m_teams[it->second];
--- a/src/router/ConfigController.cpp
+++ b/src/router/ConfigController.cpp
@@ -2,6 +2,8 @@
 
 #include "include/observe/Events.h"
 
+#include <set>
+
 namespace onyx {
 
 bool ConfigController::offer(const wire::ConfigSnapshotT& offered, std::string_view source) {
@@ -16,12 +18,9 @@
                                        {"source", std::string(source)}});
         return false;
     }
-    std::vector<ConfigShard> shards;
-    shards.reserve(offered.shards.size());
-    for (const auto& shard : offered.shards) {
-        shards.push_back({shard->name, shard->content});
-    }
-    auto snapshot = Snapshot::Make(offered.revision, shards);
+    auto shards = shardsOf(offered);
+    auto snapshot = shards.has_error() ? Result<std::shared_ptr<const Snapshot>>(shards.error())
+                                       : Snapshot::Make(offered.revision, shards.value());
     if (snapshot.has_error()) {
         logEvent(Event::kConfigCorrupt, {{"revision", revision},
                                          {"source", std::string(source)},
@@ -37,16 +36,58 @@
     return true;
 }
 
-wire::ConfigSnapshotT ConfigController::toMessage() const {
+// The offered shards, those that the sender left out taken from the configuration in force.
+Result<std::vector<ConfigShard>> ConfigController::shardsOf(
+    const wire::ConfigSnapshotT& offered) const {
+    std::vector<ConfigShard> shards;
+    shards.reserve(offered.shards.size());
+    for (const auto& shard : offered.shards) {
+        if (!shard->same) {
+            shards.push_back({shard->name, shard->content});
+            continue;
+        }
+        const ConfigShard* held = m_current ? m_current->shard(shard->name) : nullptr;
+        if (held == nullptr) {
+            return Error{ErrorCode::kProtocol, "config.offer", shard->name, "not held here"};
+        }
+        shards.push_back(*held);
+    }
+    return shards;
+}
+
+namespace {
+
+std::string KnownName(const ConfigShard& shard) {
+    return shard.name + "-" + ShardDigest(shard.content);
+}
+
+}  // namespace
+
+wire::ConfigAskT ConfigController::makeAsk() const {
+    wire::ConfigAskT ask;
+    ask.have = revision();
+    if (m_current) {
+        for (const ConfigShard& shard : m_current->shards()) {
+            ask.known.push_back(KnownName(shard));
+        }
+    }
+    return ask;
+}
+
+wire::ConfigSnapshotT ConfigController::answerTo(const wire::ConfigAskT& ask) const {
     wire::ConfigSnapshotT message;
     message.revision = revision();
     if (!m_current) {
         return message;
     }
+    const std::set<std::string> known(ask.known.begin(), ask.known.end());
     for (const ConfigShard& shard : m_current->shards()) {
         auto entry = std::make_unique<wire::ConfigShardT>();
         entry->name = shard.name;
-        entry->content = shard.content;
+        entry->same = known.contains(KnownName(shard));
+        if (!entry->same) {
+            entry->content = shard.content;
+        }
         message.shards.push_back(std::move(entry));
     }
     return message;
--- a/src/router/PeerController.cpp
+++ b/src/router/PeerController.cpp
@@ -13,6 +13,7 @@
 constexpr Millis kDialPeriod = 300;
 constexpr Millis kCheckPeriod = 100;
 constexpr Millis kConfigAskPeriod = 300;
+constexpr Millis kConfigPatience = 1200;
 
 // Passes the messages of a run into a channel of this box.
 RunSink ChannelSink(std::weak_ptr<RunChannel> weak) {
@@ -240,7 +241,7 @@
         onDigest(member, *digest);
     } else if (const auto* ask = body.AsConfigAsk()) {
         if (m_context.config.revision() > ask->have) {
-            link->send(m_context.config.toMessage());
+            link->send(m_context.config.answerTo(*ask));
         }
     } else if (const auto* snapshot = body.AsConfigSnapshot()) {
         if (m_context.config.offer(*snapshot, member.value)) {
@@ -292,15 +293,25 @@
         m_onDigest(box, digest);
     }
     checkHomes();
-    // A higher revision elsewhere: ask for it rather than wait for the platform.
-    if (digest.config_revision > m_context.config.revision() && now >= m_nextConfigAsk) {
+    askForConfig(box, digest.config_revision, now);
+}
+
+// A higher revision is elsewhere. The agent brings it as a rule, and at less cost; without one, or
+// in an outage, a peer that has it is asked.
+void PeerController::askForConfig(const MemberId& box, uint64_t revision, MonoTime now) {
+    if (revision <= m_context.config.revision()) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    const bool urgent = m_context.config.revision() == 0;
+    const bool waited = now - *m_behindSince >= kConfigPatience;
+    const auto link = m_links.find(box);
+    if ((urgent || waited) && now >= m_nextConfigAsk && link != m_links.end()) {
         m_nextConfigAsk = now + kConfigAskPeriod;
-        const auto link = m_links.find(box);
-        if (link != m_links.end()) {
-            wire::ConfigAskT ask;
-            ask.have = m_context.config.revision();
-            link->second->send(ask);
-        }
+        link->second->send(m_context.config.makeAsk());
     }
 }
 
