--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -20,6 +20,7 @@
     kPeerDown = 1101,
     kFrameBad = 1102,
     kPeerVersion = 1103,
+    kPeerSite = 1104,
     kHomesChanged = 1110,
     kConfigInForce = 1200,
     kConfigStale = 1201,
--- a/include/router/PeerController.h
+++ b/include/router/PeerController.h
@@ -99,6 +99,7 @@
 
     Task<> dialLoop();
     Task<> dial(std::string address);
+    bool sameSite(const FrameLink& link) const;
     Task<> digestLoop();
     std::set<MemberId> digestTargets() const;
     void sendDigest(FrameLink& link, Millis next);
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -26,6 +26,8 @@
             return "frame-bad";
         case Event::kPeerVersion:
             return "peer-version";
+        case Event::kPeerSite:
+            return "peer-site";
         case Event::kHomesChanged:
             return "homes-changed";
         case Event::kConfigInForce:
--- a/src/router/PeerController.cpp
+++ b/src/router/PeerController.cpp
@@ -12,6 +12,7 @@
 
 constexpr Millis kDialPeriod = 300;
 constexpr Millis kCheckPeriod = 100;
+constexpr Millis kWrongPeerPause = 10000;  // Before an address that is no peer's is tried again.
 constexpr Millis kConfigAskPeriod = 300;
 constexpr Millis kConfigPatience = 1200;
 
@@ -93,18 +94,20 @@
         co_return;
     }
     auto connected = co_await FrameLink::Connect(endpoint.value(), hello());
-    Dialed& dialed = m_dialed[address];
-    dialed.dialing = false;
     if (connected.has_error()) {
+        m_dialed[address].dialing = false;
         co_return;
     }
     const std::shared_ptr<FrameLink> link = connected.value();
     const MemberId member(link->peer().box);
-    if (member == m_context.self) {
+    if (member == m_context.self || !sameSite(*link)) {
         link->close();
+        co_await SleepFor(kWrongPeerPause);
+        m_dialed[address].dialing = false;
         co_return;
     }
-    dialed.link = link;
+    m_dialed[address].dialing = false;
+    m_dialed[address].link = link;
     m_links[member] = link;
     m_table.greeted({member, ZoneId(link->peer().zone), address}, ReadClocks().mono);
     logEvent(Event::kPeerUp, {{"peer", member.value}, {"address", address}});
@@ -114,7 +117,20 @@
     checkHomes();
 }
 
+// An address that was reused may lead to a box of another site: it must not become a peer.
+bool PeerController::sameSite(const FrameLink& link) const {
+    const bool same = link.peer().site == m_context.settings.site;
+    if (!same) {
+        logEvent(Event::kPeerSite, {{"peer", link.peer().box}, {"site", link.peer().site}});
+    }
+    return same;
+}
+
 void PeerController::accepted(std::shared_ptr<FrameLink> link) {
+    if (link->peer().role == wire::LinkRole::Router && !sameSite(*link)) {
+        link->close();
+        return;
+    }
     const MemberId member(link->peer().box);
     link->start([this, link](FrameLink&, wire::BodyUnion& body) { onFrame(link, body); },
                 [this, member](FrameLink&) { m_home.cancelAll(member); });
