--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -92,6 +92,7 @@
 
 std::vector<EngineId> Engines(int count) {
     std::vector<EngineId> engines;
+    engines.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
         engines.emplace_back(fmt::format("zone-{}.engine{}", i % 5, i));
     }
@@ -285,6 +286,7 @@
                                                       {"max_in_flight", 0}});
     }
     std::vector<ConfigShard> shards;
+    shards.reserve(lists.size());
     for (const auto& [name, list] : lists) {
         shards.push_back({name, list.dump()});
     }
@@ -336,6 +338,7 @@
         const auto names = Engines(engines);
         uint64_t sequence = 0;
         std::vector<EngineLoad> loads;
+        loads.reserve(names.size());
         for (const EngineId& engine : names) {
             loads.push_back({engine, 20, false});
         }
