--- a/include/membership/RosterKeeper.h
+++ b/include/membership/RosterKeeper.h
@@ -6,6 +6,8 @@
 
 #include "include/base/Ids.h"
 #include "include/base/Time.h"
+#include "include/membership/LeaseHolder.h"
+#include "include/membership/PromiseBook.h"
 #include "include/membership/Roster.h"
 
 #include <map>
@@ -17,25 +19,6 @@
 
 namespace onyx {
 
-// A box's lease as it stands in the platform.
-struct LeaseRecord {
-    MemberId holder;
-    // Members of this box that may never hold it again; kept apart from the holder, since a member
-    // can be removed before it ever took its lease.
-    std::vector<MemberId> revoked;
-
-    friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
-};
-
-// How a call to the platform ended.
-enum class CallStatus : uint8_t {
-    kOk,
-    kConflict,     // The object has another version: no effect.
-    kMissing,      // Read only: there is no such object.
-    kUnavailable,  // No effect.
-    kUnknown,      // It may have taken effect.
-};
-
 // Events.
 struct KeeperTick {};
 struct RosterReply {
@@ -44,12 +27,6 @@
     uint64_t version = 0;
     Roster roster;  // For a read.
 };
-struct LeaseReply {
-    uint64_t call = 0;
-    CallStatus status = CallStatus::kOk;
-    uint64_t version = 0;
-    LeaseRecord record;  // For a read.
-};
 struct ConsentAsked {  // `from` wants the next epoch to have `members`.
     MemberId from;
     uint64_t epoch = 0;
@@ -215,7 +192,7 @@
     // The newest roster seen. Preconditions: none.
     const Roster& roster() const { return m_history.current(); }
     // Whether the lease covers `now`. Preconditions: none.
-    bool leaseValid(const Now& now) const { return now.mono < m_leaseUntil; }
+    bool leaseValid(const Now& now) const { return m_lease.valid(now.mono); }
     // Whether promises of all other members cover `now`. Preconditions: none.
     bool promised(const Now& now) const;
     // Whether this member consented to a change that is not through. Preconditions: none.
@@ -225,7 +202,6 @@
 
 private:
     using Actions = std::vector<KeeperAction>;
-    enum class OwnLease : uint8_t { kUnread, kKnown, kSuperseded };
     // How far the removal of one member has come.
     struct Removal {
         bool read = false;
@@ -262,7 +238,6 @@
 
     bool needsLease() const;
     void renewLease(const Now& now, Actions& out);
-    void ownLeaseReply(const LeaseReply& event, const Now& now, Actions& out);
     void rejoin(Actions& out);
     void readRoster(const Now& now, Actions& out);
     bool handoverMayCome(std::string_view key, const Now& now) const;
@@ -291,16 +266,7 @@
     uint64_t m_generation = 0;
     KeeperSettings m_settings;
 
-    OwnLease m_leaseState = OwnLease::kUnread;
-    uint64_t m_leaseVersion = 0;
-    std::vector<MemberId> m_leaseRevoked;  // As last read from the own lease.
-    MonoTime m_leaseSentAt;
-    MonoTime m_leaseUntil;
-    uint64_t m_leaseCall = 0;
-    bool m_leaseEverHeld = false;
-    bool m_platformFails = false;
-    MonoTime m_nextRenew;
-
+    LeaseHolder m_lease;
     RosterHistory m_history;
     uint64_t m_rosterVersion = 0;  // Of the roster object; 0 stands for "none".
     bool m_rosterRead = false;
@@ -310,11 +276,7 @@
     std::optional<Proposal> m_proposal;
     std::optional<std::vector<MemberId>> m_joint;  // Members of the change consented to.
     MonoTime m_jointSince;
-    std::map<MemberId, MonoTime> m_promisesGiven;
-    std::map<MemberId, MonoTime> m_withheld;  // No promises: somebody asked to remove them.
-    std::map<MemberId, MonoTime> m_promisesHeld;
-    std::map<uint64_t, MonoTime> m_promiseRounds;  // When each round was asked.
-    uint64_t m_promiseRound = 0;
+    PromiseBook m_promises;
     MonoTime m_nextPromiseAsk;
 
     Handovers m_handovers;
--- a/src/membership/RosterKeeper.cpp
+++ b/src/membership/RosterKeeper.cpp
@@ -6,13 +6,9 @@
 
 namespace {
 
-constexpr size_t kMostRounds = 16;
 constexpr size_t kMostDeparted = 1000;
 constexpr size_t kMostRevoked = 16;  // Joins of one box; the oldest are long out of any roster.
 
-bool Lists(const std::vector<MemberId>& members, const MemberId& member) {
-    return std::find(members.begin(), members.end(), member) != members.end();
-}
 constexpr size_t kMostHandovers = 64;
 
 MemberId WithGeneration(const MemberId& process, uint64_t generation) {
@@ -26,7 +22,11 @@
 }  // namespace
 
 RosterKeeper::RosterKeeper(MemberId member, const KeeperSettings& settings)
-    : m_base(std::move(member)), m_self(WithGeneration(m_base, 0)), m_settings(settings) {}
+    : m_base(std::move(member)),
+      m_self(WithGeneration(m_base, 0)),
+      m_settings(settings),
+      m_lease(settings.lease, settings.renew),
+      m_promises(settings.promise, settings.drift) {}
 
 std::vector<KeeperAction> RosterKeeper::step(const KeeperEvent& event, const Now& now) {
     Actions out;
@@ -74,14 +74,8 @@
 }
 
 bool RosterKeeper::promised(const Now& now) const {
-    const Roster& current = roster();
-    if (m_joint || !current.has(m_self)) {
-        return false;
-    }
-    return std::all_of(current.members.begin(), current.members.end(), [&](const MemberId& other) {
-        const auto held = m_promisesHeld.find(other);
-        return other == m_self || (held != m_promisesHeld.end() && now.mono < held->second);
-    });
+    return !m_joint && roster().has(m_self) &&
+           m_promises.heldFromAll(roster().members, m_self, now.mono);
 }
 
 // ---- The clock ----
@@ -91,7 +85,7 @@
     if (now.mono >= m_nextRosterRead) {
         readRoster(now, out);
     }
-    if (m_platformFails && now.mono >= m_nextPromiseAsk) {
+    if (m_lease.failing() && now.mono >= m_nextPromiseAsk) {
         askPromises(now, out);
     }
     considerProposal(now, out);
@@ -100,18 +94,16 @@
 // ---- The own lease ----
 
 void RosterKeeper::renewLease(const Now& now, Actions& out) {
-    const bool idle = m_leaseCall == 0 && m_leaseState != OwnLease::kSuperseded;
-    if (!idle || now.mono < m_nextRenew || !needsLease()) {
+    if (!m_lease.due(now.mono) || !needsLease()) {
         return;
     }
-    m_leaseCall = nextCall();
-    m_leaseSentAt = now.mono;
-    m_nextRenew = now.mono + m_settings.renew;
+    const uint64_t call = nextCall();
     const std::string box = BoxOf(m_self);
-    if (m_leaseState == OwnLease::kUnread) {
-        out.emplace_back(ReadLease{m_leaseCall, box});
+    const LeaseHolder::Request request = m_lease.request(m_self, call, now.mono);
+    if (const auto* renewal = std::get_if<LeaseHolder::Renewal>(&request)) {
+        out.emplace_back(WriteLease{call, box, renewal->expect, renewal->record});
     } else {
-        out.emplace_back(WriteLease{m_leaseCall, box, m_leaseVersion, {m_self, m_leaseRevoked}});
+        out.emplace_back(ReadLease{call, box});
     }
 }
 
@@ -122,43 +114,6 @@
     return m_rosterRead && (current.has(m_self) || current.members.empty() || mayReplaceAll());
 }
 
-void RosterKeeper::ownLeaseReply(const LeaseReply& event, const Now& now, Actions& out) {
-    m_leaseCall = 0;
-    const bool failed =
-        event.status == CallStatus::kUnavailable || event.status == CallStatus::kUnknown;
-    m_platformFails = failed;
-    if (m_leaseState == OwnLease::kKnown) {
-        if (event.status == CallStatus::kOk) {
-            m_leaseVersion = event.version;
-            m_leaseEverHeld = true;
-            // Counted from when the renewal was sent: the platform may have answered late.
-            m_leaseUntil = m_leaseSentAt + m_settings.lease;
-        } else if (event.status != CallStatus::kUnavailable) {
-            m_leaseState = OwnLease::kUnread;
-            m_nextRenew = event.status == CallStatus::kConflict ? now.mono : m_nextRenew;
-        }
-        return;
-    }
-    if (failed) {
-        return;
-    }
-    const bool missing = event.status == CallStatus::kMissing;
-    const bool otherLife = !missing && ProcessOf(event.record.holder) != m_base;
-    if (otherLife && m_leaseEverHeld) {
-        m_leaseState = OwnLease::kSuperseded;  // The box has a newer life.
-        m_leaseUntil = {};
-        return;
-    }
-    if (Lists(event.record.revoked, m_self)) {
-        rejoin(out);
-    }
-    m_leaseState = OwnLease::kKnown;
-    m_leaseRevoked = event.record.revoked;
-    m_leaseVersion = missing ? 0 : event.version;
-    m_nextRenew = now.mono;
-    renewLease(now, out);
-}
-
 void RosterKeeper::rejoin(Actions& out) {
     ++m_generation;
     m_self = WithGeneration(m_base, m_generation);
@@ -166,18 +121,20 @@
     m_handovers.clear();
     m_joint.reset();
     m_proposal.reset();
-    m_promisesHeld.clear();
-    m_leaseUntil = {};
-    m_leaseState = OwnLease::kUnread;
+    m_promises.dropHeld();
     m_rosterRead = false;
     m_nextRosterRead = {};
-    m_nextRenew = {};
     out.emplace_back(Rejoined{m_self});
 }
 
 void RosterKeeper::onEvent(const LeaseReply& event, const Now& now, Actions& out) {
-    if (event.call == m_leaseCall) {
-        ownLeaseReply(event, now, out);
+    if (m_lease.isWaitingFor(event.call)) {
+        const auto result = m_lease.answer(m_self, event, now.mono);
+        if (result == LeaseHolder::Result::kRevoked) {
+            rejoin(out);
+        } else if (result == LeaseHolder::Result::kRenewNow) {
+            renewLease(now, out);
+        }
         return;
     }
     if (!m_proposal) {
@@ -252,25 +209,25 @@
         return;
     }
     m_joint.reset();
-    m_promisesHeld.clear();
-    m_promiseRounds.clear();
+    m_promises.dropHeld();
+    m_promises.endWithholding();
     m_proposal.reset();
     m_storeWentBack = false;
     m_epochTakenAt = now.mono;
-    m_withheld.clear();
     for (const MemberId& member : next.members) {
         m_lastHeard.try_emplace(member, now.mono);
     }
     std::erase_if(m_condemned, [&](const MemberId& member) { return !next.has(member); });
     out.emplace_back(EpochTaken{next.epoch});
     if (!wasMember && next.has(m_self)) {
-        m_nextRenew = now.mono;
+        m_lease.hurry(now.mono);
         renewLease(now, out);
     }
     if (wasMember && !next.has(m_self)) {
         if (m_leaving) {
             out.emplace_back(LeftRoster{});
         } else {
+            m_lease.restart();
             rejoin(out);
         }
     }
@@ -284,11 +241,7 @@
         return;
     }
     m_nextPromiseAsk = now.mono + std::min(m_settings.renew, m_settings.promise / 3);
-    const uint64_t round = ++m_promiseRound;
-    m_promiseRounds[round] = now.mono;
-    if (m_promiseRounds.size() > kMostRounds) {
-        m_promiseRounds.erase(m_promiseRounds.begin());
-    }
+    const uint64_t round = m_promises.startRound(now.mono);
     for (const MemberId& other : current.members) {
         if (other != m_self) {
             out.emplace_back(AskPromise{other, round, current.epoch});
@@ -298,28 +251,21 @@
 
 void RosterKeeper::onEvent(const PromiseAsked& event, const Now& now, Actions& out) {
     const Roster& current = roster();
-    const auto withheld = m_withheld.find(event.from);
     const bool removing = m_condemned.contains(event.from) ||
-                          (withheld != m_withheld.end() && now.mono < withheld->second) ||
+                          !m_promises.mayGive(event.from, now.mono) ||
                           (m_proposal && m_proposal->removals.contains(event.from));
     const bool granted = event.epoch == current.epoch && current.has(m_self) &&
                          current.has(event.from) && !m_joint && !removing;
     if (granted) {
-        MonoTime& until = m_promisesGiven[event.from];
-        until = std::max(until, now.mono + m_settings.promise + m_settings.drift);
+        m_promises.give(event.from, now.mono);
     }
     out.emplace_back(AnswerPromise{event.from, event.round, event.epoch, granted});
 }
 
 void RosterKeeper::onEvent(const PromiseAnswered& event, const Now&, Actions&) {
-    const auto asked = m_promiseRounds.find(event.round);
-    const bool current = event.epoch == roster().epoch && !m_joint;
-    if (!event.granted || !current || asked == m_promiseRounds.end()) {
-        return;
+    if (event.granted && event.epoch == roster().epoch && !m_joint) {
+        m_promises.granted(event.from, event.round);
     }
-    // Counted from when it was asked for: the other counts from later.
-    MonoTime& until = m_promisesHeld[event.from];
-    until = std::max(until, asked->second + m_settings.promise);
 }
 
 // ---- Consent ----
@@ -334,16 +280,14 @@
         return *m_joint == members;
     }
     for (const MemberId& other : current.members) {
-        const auto given = m_promisesGiven.find(other);
-        const bool removed = !Contains(members, other);
-        if (removed && given != m_promisesGiven.end() && now.mono < given->second) {
-            m_withheld[other] = now.mono + m_settings.stuck;
+        if (!Contains(members, other) && m_promises.bound(other, now.mono)) {
+            m_promises.withhold(other, now.mono + m_settings.stuck);
             return false;
         }
     }
     m_joint = members;
     m_jointSince = now.mono;
-    m_promisesHeld.clear();
+    m_promises.dropHeld();
     out.emplace_back(Consented{epoch, members});
     return true;
 }
@@ -589,7 +533,7 @@
     removal.record = event.record;
     // The holder's last renewal was sent before this moment.
     removal.seenAt = now.mono;
-    if (Lists(event.record.revoked, member)) {
+    if (IsRevoked(event.record, member)) {
         removal.revoked = true;  // By an earlier proposal.
         m_condemned.insert(member);
     }
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -14,8 +14,6 @@
             return "stopping";
         case Event::kTaskFailed:
             return "task-failed";
-        case Event::kSettingsBad:
-            return "settings-bad";
         case Event::kListenFailed:
             return "listen-failed";
         case Event::kPeerUp:
@@ -50,8 +48,6 @@
             return "roster-changed";
         case Event::kTakeover:
             return "takeover";
-        case Event::kPromised:
-            return "promised";
         case Event::kStreamResumed:
             return "stream-resumed";
         case Event::kStreamBroken:
@@ -64,8 +60,6 @@
             return "engine-down";
         case Event::kPreempted:
             return "preempted";
-        case Event::kRefused:
-            return "refused";
         case Event::kDrainStarted:
             return "drain-started";
         case Event::kDrainDone:
