--- a/include/router/KeyController.h
+++ b/include/router/KeyController.h
@@ -70,6 +70,8 @@
     void callRoster(uint64_t call, wire::PlatformCallT message);
     void callLease(uint64_t call, wire::PlatformCallT message);
     void refuse(const Waiting& waiting, const Refusal& refusal);
+    std::vector<EngineConfig> replicasFor(const std::string& service, const std::string& key) const;
+    ServiceCall makeCall(const wire::RunRequestT& request, const RunKey& action);
     Task<> run(RunKey action);
     Task<> forward(Waiting waiting, MemberId owner);
     Task<> tickLoop();
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -134,27 +134,47 @@
     Spawn(m_context.executor, run(action));
 }
 
-Task<> KeyController::run(RunKey action) {
+// The replicas that may take the key's order, own zone first; every owner would ask them alike.
+std::vector<EngineConfig> KeyController::replicasFor(const std::string& service,
+                                                     const std::string& key) const {
     const auto snapshot = m_context.config.current();
-    const wire::RunRequestT request = m_waiting.at(action.request).request;
-    const MonoTime deadline = ReadClocks().mono + request.deadline_in_ms;
     std::vector<EngineId> own;
     std::vector<EngineId> other;
     for (const auto& [id, engine] : snapshot->engines()) {
-        if (engine.service.value == request.service && m_home.usable(engine)) {
+        if (engine.service.value == service && m_home.usable(engine)) {
             (engine.zone.value == m_context.settings.zone ? own : other).push_back(id);
         }
     }
-    std::vector<EngineId> candidates;
+    std::vector<EngineConfig> replicas;
     for (const auto* list : {&own, &other}) {
-        for (const uint32_t i : RendezvousOrder(ChatId(action.key), *list, list->size())) {
-            candidates.push_back((*list)[i]);
+        for (const uint32_t i : RendezvousOrder(ChatId(key), *list, list->size())) {
+            replicas.push_back(*snapshot->engine((*list)[i]));
         }
     }
+    return replicas;
+}
+
+ServiceCall KeyController::makeCall(const wire::RunRequestT& request, const RunKey& action) {
+    const auto snapshot = m_context.config.current();
+    const ServiceConfig* service = snapshot->service(ServiceId(request.service));
+    ServiceCall call;
+    call.upstreamId = m_context.nextUpstreamId();
+    call.method = request.method;
+    call.target = request.target;
+    call.contentType = request.content_type;
+    call.body.assign(request.body.begin(), request.body.end());
+    call.key = action.key;
+    call.fence = service != nullptr && service->checksFence ? action.epoch : 0;
+    return call;
+}
+
+Task<> KeyController::run(RunKey action) {
+    const wire::RunRequestT request = m_waiting.at(action.request).request;
+    const MonoTime deadline = ReadClocks().mono + request.deadline_in_ms;
     KeyDone done;
     done.request = action.request;
     done.state = KeyState::kNotRun;
-    for (const EngineId& candidate : candidates) {
+    for (const EngineConfig& replica : replicasFor(request.service, action.key)) {
         const Now now = ReadClocks();
         const Millis left = deadline - now.mono;
         if (left <= 0 || !m_owner.mayDispatch(action.request, now)) {
@@ -163,18 +183,9 @@
         if (m_trace) {
             m_trace->dispatched(now, action.request, action.key);
         }
-        ServiceCall call;
-        call.service = snapshot->engine(candidate)->address;
-        call.upstreamId = m_context.nextUpstreamId();
-        call.method = request.method;
-        call.target = request.target;
-        call.contentType = request.content_type;
-        call.body.assign(request.body.begin(), request.body.end());
-        call.key = action.key;
+        ServiceCall call = makeCall(request, action);
+        call.service = replica.address;
         call.timeout = left;
-        if (snapshot->service(ServiceId(request.service))->checksFence) {
-            call.fence = action.epoch;
-        }
         const ServiceAnswer answer = co_await m_services.call(std::move(call));
         if (!answer.written) {
             continue;  // It never reached this replica: another one may have it.
