--- a/tests/HomeAdmissionTest.cpp
+++ b/tests/HomeAdmissionTest.cpp
@@ -181,3 +181,68 @@
     last.meanHint = load + 1;
     CHECK(FirstIs<Admitted>(home.ask(last, {2})));
 }
+
+// Boxes may hold different lists for some seconds, and then an engine has two homes.
+TEST_CASE("Two homes of one engine for five seconds stay within twice the bound") {
+    constexpr Millis kService = 2000;
+    constexpr Millis kLag = 1000;
+    const std::vector<HomedEngine> first = {Engine("hot", 100), Engine("a", 100), Engine("b", 100)};
+    const std::vector<HomedEngine> second = {Engine("c", 100), Engine("d", 100), Engine("e", 100)};
+    HomeAdmission homes[] = {HomeAdmission({}), HomeAdmission({})};
+    homes[0].setEngines(first, {0});
+    homes[1].setEngines(second, {0});
+    const MemberId members[] = {MemberId("p#1"), MemberId("q#1")};
+    struct Ending {
+        Millis at;
+        int home;
+        Ticket ticket;
+        bool hot;
+    };
+    std::vector<Ending> endings;
+    std::vector<int> hotAt;
+    Ticket ticket = 0;
+    int hot = 0;
+    int worst = 0;
+    int bound = 0;
+    for (Millis now = 0; now < 10000; now += 10) {
+        if (now == 5000) {
+            std::vector<HomedEngine> both = second;
+            both.push_back(first.front());
+            homes[1].setEngines(both, {now});
+        }
+        std::erase_if(endings, [&](const Ending& ending) {
+            if (ending.at <= now) {
+                homes[ending.home].done(ending.ticket, {now});
+                hot -= ending.hot ? 1 : 0;
+            }
+            return ending.at <= now;
+        });
+        const int home = static_cast<int>(now / 10 % 2);
+        const char* names[] = {"a", "c", "hot", "b", "d", "hot", "hot", "e"};
+        const std::string name = names[now / 10 % 8];
+        const auto actions = homes[home].ask(Ask(++ticket, name.c_str()), {now});
+        if (FirstIs<Admitted>(actions)) {
+            hot += name == "hot" ? 1 : 0;
+            endings.push_back({now + kService, home, ticket, name == "hot"});
+        }
+        hotAt.push_back(hot);
+        if (now % 250 == 0) {
+            for (int i : {0, 1}) {
+                const auto loads = homes[i].loads({now});
+                homes[1 - i].digest(members[i], static_cast<uint64_t>(now + 1), loads, {now});
+            }
+        }
+        if (now % 500 == 0 && now >= kLag) {
+            const int then = hotAt[static_cast<size_t>((now - kLag) / 10)];
+            homes[0].report({EngineId("hot"), then, kLag}, {now});
+            homes[1].report({EngineId("hot"), then, kLag}, {now});
+        }
+        const double mean = homes[0].total({now}).mean();
+        if (now >= 5000) {
+            worst = std::max(worst, hot);
+            bound = std::max(bound, AllowedInFlight(Engine("hot", 100).bound, mean));
+        }
+    }
+    CHECK(worst > 0);
+    CHECK(worst <= 2 * bound);
+}
