Give a team's place back however its request ends; pass on no invalid UTF-8 as a crash

By reading: an exception between enter and leave (an engine's bytes that are not UTF-8 made the JSON library throw) would have kept the team's place for good.

--- a/include/admission/TeamLimiter.h
+++ b/include/admission/TeamLimiter.h
@@ -31,6 +31,20 @@
         }
     }
 
+    // Gives the place back when it goes out of scope, however the request ended.
+    class Place {
+    public:
+        // Preconditions: enter() gave the place; the limiter outlives it.
+        Place(TeamLimiter& limiter, TeamId team) : m_limiter(limiter), m_team(std::move(team)) {}
+        Place(const Place&) = delete;
+        Place& operator=(const Place&) = delete;
+        ~Place() { m_limiter.leave(m_team); }
+
+    private:
+        TeamLimiter& m_limiter;
+        TeamId m_team;
+    };
+
     // Teams with requests in flight. Preconditions: none.
     size_t teams() const { return m_inFlight.size(); }
 
--- a/src/router/PlacedCall.cpp
+++ b/src/router/PlacedCall.cpp
@@ -17,6 +17,11 @@
 constexpr Millis kComeBackSoon = 1000;
 constexpr std::string_view kEventStream = "text/event-stream";
 
+// As JSON; bytes of an engine that are not UTF-8 are replaced.
+std::string Dump(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json UsageOf(const wire::RunEndT& end, uint32_t tokens) {
     return {{"prompt_tokens", end.prompt_tokens},
             {"cached_tokens", end.cached_tokens},
@@ -241,7 +246,7 @@
                         {"object", "chat.completion.chunk"},
                         {"model", m_call.service->service.value},
                         {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
-    const std::string line = "data: " + event.dump() + "\n\n";
+    const std::string line = "data: " + Dump(event) + "\n\n";
     if (!co_await m_call.exchange.write(line)) {
         m_callerGone = true;
         co_return false;
@@ -340,7 +345,7 @@
         {"model", m_call.service->service.value},
         {"choices", {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
         {"usage", UsageOf(end, m_tokens.next())}};
-    co_await m_call.exchange.respond(200, headers, "application/json", body.dump());
+    co_await m_call.exchange.respond(200, headers, "application/json", Dump(body));
 }
 
 Task<> PlacedCall::finishStream(const wire::RunEndT& end) {
@@ -354,7 +359,7 @@
                         {"choices", json::array({choice})},
                         {"usage", UsageOf(end, m_tokens.next())},
                         {"onyx", {{"engine", m_engine.value}, {"home", m_home.value}}}};
-    co_await m_call.exchange.write("data: " + event.dump() + "\n\ndata: [DONE]\n\n");
+    co_await m_call.exchange.write("data: " + Dump(event) + "\n\ndata: [DONE]\n\n");
     co_await m_call.exchange.finish();
 }
 
--- a/src/router/Router.cpp
+++ b/src/router/Router.cpp
@@ -149,8 +149,8 @@
         co_await SendProblem(exchange, full);
         co_return;
     }
+    const TeamLimiter::Place place(m_limiter, team);
     const CallResult result = co_await dispatch(call);
-    m_limiter.leave(team);
     countResult(call, result);
 }
 
