--- a/src/admin/Ctl.cpp
+++ b/src/admin/Ctl.cpp
@@ -294,6 +294,54 @@
     });
 }
 
+void AddServiceCommands(CLI::App& app, Client& client, int& code) {
+    CLI::App* service = app.add_subcommand("service", "Services: models and plain services");
+    service->require_subcommand(1);
+    CLI::App* put = service->add_subcommand("put", "Create or change a service");
+    auto name = std::make_shared<std::string>();
+    auto kind = std::make_shared<std::string>("chat");
+    auto priority = std::make_shared<std::string>("normal");
+    auto zones = std::make_shared<std::vector<std::string>>();
+    auto once = std::make_shared<bool>(false);
+    auto fenced = std::make_shared<bool>(false);
+    auto multiple = std::make_shared<double>(0);
+    auto numbers = std::make_shared<std::array<uint32_t, 3>>();
+    put->add_option("name", *name, "Name")->required();
+    put->add_option("--kind", *kind, "chat or plain")->check(CLI::IsMember({"chat", "plain"}));
+    put->add_flag("--once", *once, "Its requests may not be repeated");
+    put->add_option("--zone", *zones, "Home zone of its keys (repeat)");
+    put->add_flag("--checks-fence", *fenced, "The upstream checks the fencing token");
+    put->add_option("--multiple", *multiple, "c of the load bound");
+    put->add_option("--floor", (*numbers)[0], "Load below which the bound does not bind");
+    put->add_option("--capacity", (*numbers)[1], "Most in flight on one engine");
+    put->add_option("--objective-ms", (*numbers)[2], "First byte within this time");
+    put->add_option("--priority", *priority, "Default: urgent, normal or deferrable");
+    put->callback([=, &client, &code] {
+        v1::Change change;
+        v1::Service* out = change.mutable_put_service();
+        out->set_name(*name);
+        out->set_kind(*kind == "chat" ? v1::Service::CHAT : v1::Service::PLAIN);
+        out->set_repeatable(!*once);
+        out->set_checks_fence(*fenced);
+        out->set_multiple(*multiple);
+        out->set_floor((*numbers)[0]);
+        out->set_capacity((*numbers)[1]);
+        out->set_objective_ms((*numbers)[2]);
+        out->set_default_priority(*priority);
+        for (const std::string& zone : *zones) {
+            out->add_zones(zone);
+        }
+        code = client.apply({change});
+    });
+    CLI::App* erase = service->add_subcommand("delete", "Delete a service");
+    erase->add_option("name", *name, "Name")->required();
+    erase->callback([=, &client, &code] {
+        v1::Change change;
+        change.set_delete_service(*name);
+        code = client.apply({change});
+    });
+}
+
 void AddStepCommand(CLI::App& app, Client& client, int& code) {
     CLI::App* step = app.add_subcommand("step", "Add a migration step");
     auto from = std::make_shared<int64_t>(0);
@@ -334,6 +382,7 @@
     apply->callback([&] { code = ApplyFile(client, path); });
     leave->callback([&] { code = client.leave(box); });
     AddTeamCommands(app, client, code);
+    AddServiceCommands(app, client, code);
     AddEngineCommands(app, client, code);
     AddStepCommand(app, client, code);
     CLI11_PARSE(app, argc, argv);
--- a/tests/process/configuration.sh
+++ b/tests/process/configuration.sh
@@ -19,6 +19,9 @@
 echo "bad changes"
 check "a bad field is named" grep -q "put_engine.address" <<<"$(ctl engine put e --service s --zone z --address nowhere 2>&1)"
 
+check "home zones of keys cannot change" grep -q "put_service.zones" <<<"$(ctl service put charge --kind plain --once --zone bio-hall 2>&1)"
+check "a service needs home zones if it may not be repeated" grep -q "put_service.zones" <<<"$(ctl service put once --kind plain --once 2>&1)"
+
 echo "the answer of an accepted change is lost"
 control "$PLATFORM" '{"lose_answers": 2}' >/dev/null
 check "the change is accepted once" equal "$(ctl --change-id x1 team put lost --token c 2>&1)" "accepted as revision 3"
