--- a/include/membership/PeerTable.h
+++ b/include/membership/PeerTable.h
@@ -70,7 +70,6 @@
         PeerInfo info;
         MonoTime heardAt;
         bool draining = false;
-        bool linked = false;
         bool suspected = false;
         Millis next = 0;
     };
--- a/include/placement/ZoneLoads.h
+++ b/include/placement/ZoneLoads.h
@@ -56,9 +56,6 @@
     // Whether the newest fresh digest about `engine` said that it was full. Preconditions: none.
     bool saidFull(const EngineId& engine, MonoTime now) const;
 
-    // The load of `engine` in fresh digests. Preconditions: none.
-    std::optional<int> loadOf(const EngineId& engine, MonoTime now) const;
-
 private:
     struct Digest {
         uint64_t sequence = 0;
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -15,7 +15,6 @@
     Peer& entry = m_peers[peer.member];
     entry.info = peer;
     entry.heardAt = now;
-    entry.linked = true;
     entry.suspected = false;
     entry.next = 0;
 }
@@ -39,17 +38,14 @@
 }
 
 void PeerTable::lost(const MemberId& member) {
-    const auto it = m_peers.find(member);
-    if (it != m_peers.end()) {
-        it->second.linked = false;
-    }
+    m_peers.erase(member);
 }
 
 bool PeerTable::fresh(const Peer& peer, MonoTime now) const {
     constexpr Millis kMissedHeartbeats = 3;
     const Millis patience = std::max(m_timeout, kMissedHeartbeats * peer.next);
     const bool silent = peer.next > 0 && now - peer.heardAt > patience;
-    return peer.linked && !peer.suspected && !silent;
+    return !peer.suspected && !silent;
 }
 
 std::vector<MemberId> PeerTable::live(const ZoneId& zone, MonoTime now) const {
--- a/src/membership/RosterKeeper.cpp
+++ b/src/membership/RosterKeeper.cpp
@@ -321,6 +321,9 @@
         m_live[seen.member] = seen.draining;
         m_lastHeard[seen.member] = now.mono;
     }
+    std::erase_if(m_lastHeard, [&](const auto& heard) {
+        return !m_live.contains(heard.first) && !roster().has(heard.first);
+    });
 }
 
 void RosterKeeper::onEvent(const BoxesListed& event, const Now&, Actions&) {
--- a/src/placement/ZoneLoads.cpp
+++ b/src/placement/ZoneLoads.cpp
@@ -66,9 +66,4 @@
     return load != nullptr && load->full;
 }
 
-std::optional<int> ZoneLoads::loadOf(const EngineId& engine, MonoTime now) const {
-    const EngineLoad* load = fresh(engine, now);
-    return load == nullptr ? std::nullopt : std::optional(load->load);
-}
-
 }  // namespace onyx
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -81,8 +81,14 @@
 void KeyController::feedLive() {
     MembersLive live;
     const Now now = ReadClocks();
+    // Boxes are replaced every day: nothing is kept of those that are gone.
+    std::erase_if(m_generations,
+                  [&](const auto& entry) { return !m_table.isLive(entry.first, now.mono); });
+    std::erase_if(m_draining,
+                  [&](const auto& entry) { return !m_table.isLive(entry.first, now.mono); });
     for (const PeerInfo& peer : m_table.reachable(now.mono)) {
-        if (peer.zone.value == m_context.settings.zone) {
+        // Before its first digest it is not known how often it joined, and so under which id.
+        if (peer.zone.value == m_context.settings.zone && m_generations.contains(peer.member)) {
             const MemberId member = WithGeneration(peer.member, m_generations[peer.member]);
             live.members.push_back({member, m_draining[peer.member]});
         }
