Say once what stood two or three times: members' ids, refusals on the wire, when to come back

By reading the whole change: WithGeneration stood beside ProcessOf in two files (MemberOf now), the verdict of a refusal was put together and taken apart in two places each (RefusalVerdict, RefusalOf), three constants stood up to three times, and ZoneLoads::erase was used by nothing.

--- a/include/membership/Roster.h
+++ b/include/membership/Roster.h
@@ -38,6 +38,10 @@
 // process joined. Thread safety: any thread.
 MemberId ProcessOf(const MemberId& member);
 
+// The member that `process` is after it joined `generation` times anew; ProcessOf leads back.
+// Thread safety: any thread.
+MemberId MemberOf(const MemberId& process, uint64_t generation);
+
 // What an earlier owner handed over with a change of the roster from `before` to `members`: the
 // whole history since `since` of the keys that this very change moves. It says nothing of another
 // change.
--- a/include/placement/ZoneLoads.h
+++ b/include/placement/ZoneLoads.h
@@ -46,9 +46,6 @@
     void put(const MemberId& box, uint64_t sequence, std::span<const EngineLoad> loads,
              MonoTime now);
 
-    // Forgets a box that left. Preconditions: none.
-    void erase(const MemberId& box) { m_boxes.erase(box); }
-
     // Load over the engines in `own` and in fresh digests of others. An engine that two boxes
     // report for a moment counts once, with the higher load. Preconditions: none.
     ZoneTotal total(std::span<const EngineLoad> own, MonoTime now) const;
--- a/include/router/Problem.h
+++ b/include/router/Problem.h
@@ -9,6 +9,9 @@
 
 namespace onyx {
 
+// When to come back where nothing better is known.
+inline constexpr Millis kComeBackSoon = 1000;
+
 // An answer that is not what the caller wanted.
 struct Problem {
     unsigned status = 500;
--- a/include/router/RunChannel.h
+++ b/include/router/RunChannel.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "generated/frames_generated.h"
+#include "include/base/Outcome.h"
 #include "include/net/Net.h"
 
 #include <boost/asio/experimental/channel.hpp>
@@ -23,6 +24,10 @@
 using RunMessage =
     std::variant<wire::RunVerdictT, wire::RunChunkT, wire::RunEndT, HopLost, CallerGone, WaitOver>;
 
+// A refusal as the message about run `id`, and back. Thread safety: any thread.
+wire::RunVerdictT RefusalVerdict(uint64_t id, const Refusal& refusal);
+Refusal RefusalOf(const wire::RunVerdictT& verdict);
+
 // Not thread safe: one io_context. Held by shared_ptr by both ends.
 class RunChannel {
 public:
--- a/src/membership/Roster.cpp
+++ b/src/membership/Roster.cpp
@@ -28,6 +28,10 @@
     return MemberId(member.value.substr(0, member.value.rfind('.')));
 }
 
+MemberId MemberOf(const MemberId& process, uint64_t generation) {
+    return MemberId(process.value + "." + std::to_string(generation));
+}
+
 bool RosterHistory::add(const Roster& roster) {
     if (roster.epoch <= current().epoch) {
         return false;
--- a/src/membership/RosterKeeper.cpp
+++ b/src/membership/RosterKeeper.cpp
@@ -11,10 +11,6 @@
 
 constexpr size_t kMostHandovers = 64;
 
-MemberId WithGeneration(const MemberId& process, uint64_t generation) {
-    return MemberId(process.value + "." + std::to_string(generation));
-}
-
 bool Contains(const std::vector<MemberId>& sorted, const MemberId& member) {
     return std::binary_search(sorted.begin(), sorted.end(), member);
 }
@@ -23,7 +19,7 @@
 
 RosterKeeper::RosterKeeper(MemberId member, const KeeperSettings& settings)
     : m_base(std::move(member)),
-      m_self(WithGeneration(m_base, 0)),
+      m_self(MemberOf(m_base, 0)),
       m_settings(settings),
       m_lease(settings.lease, settings.renew),
       m_promises(settings.promise, settings.drift) {}
@@ -116,7 +112,7 @@
 
 void RosterKeeper::rejoin(Actions& out) {
     ++m_generation;
-    m_self = WithGeneration(m_base, m_generation);
+    m_self = MemberOf(m_base, m_generation);
     m_history.clear();
     m_handovers.clear();
     m_joint.reset();
--- a/src/router/Filters.cpp
+++ b/src/router/Filters.cpp
@@ -15,7 +15,6 @@
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::string_view kBearer = "Bearer ";
-constexpr Millis kComeBackSoon = 1000;
 
 Problem NotReady(const std::string& type, const std::string& detail, RunOutcome outcome) {
     Problem problem;
--- a/src/router/HomeController.cpp
+++ b/src/router/HomeController.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Hash.h"
 #include "include/membership/PeerTable.h"
 #include "include/observe/Events.h"
+#include "include/router/RunChannel.h"
 
 #include <nlohmann/json.hpp>
 
@@ -166,14 +167,7 @@
 
 void HomeController::refused(const Refused& refused) {
     const Run& run = m_runs.at(refused.ticket);
-    wire::RunVerdictT verdict;
-    verdict.id = run.askerId;
-    verdict.verdict = wire::Verdict::Refused;
-    verdict.reason = static_cast<uint8_t>(refused.refusal.reason);
-    verdict.outcome = static_cast<uint8_t>(refused.refusal.outcome);
-    verdict.retry_after_ms = refused.refusal.retryAfter;
-    verdict.detail = refused.refusal.detail;
-    SendTo(run.sink, std::move(verdict));
+    SendTo(run.sink, RefusalVerdict(run.askerId, refused.refusal));
     m_byAsker.erase({run.asker, run.askerId});
     m_runs.erase(refused.ticket);
 }
--- a/src/router/KeyController.cpp
+++ b/src/router/KeyController.cpp
@@ -13,8 +13,6 @@
 constexpr Millis kTick = 50;
 constexpr Millis kLivePeriod = 300;
 constexpr uint32_t kMostForwards = 1;
-constexpr Millis kAwayRetry = 1000;
-
 KeeperSettings KeeperSettingsOf(const RouterSettings& settings) {
     KeeperSettings keeper;
     keeper.lease = settings.leaseDuration;
@@ -35,10 +33,6 @@
     return ledger;
 }
 
-MemberId WithGeneration(const MemberId& process, uint32_t generation) {
-    return MemberId(process.value + "." + std::to_string(generation));
-}
-
 }  // namespace
 
 KeyController::KeyController(RouterContext& context, PeerTable& table, PeerController& peers,
@@ -89,7 +83,7 @@
     for (const PeerInfo& peer : m_table.reachable(now.mono)) {
         // Before its first digest it is not known how often it joined, and so under which id.
         if (peer.zone.value == m_context.settings.zone && m_generations.contains(peer.member)) {
-            const MemberId member = WithGeneration(peer.member, m_generations[peer.member]);
+            const MemberId member = MemberOf(peer.member, m_generations[peer.member]);
             live.members.push_back({member, m_draining[peer.member]});
         }
     }
@@ -235,14 +229,7 @@
 }
 
 void KeyController::refuse(const Waiting& waiting, const Refusal& refusal) {
-    wire::RunVerdictT verdict;
-    verdict.id = waiting.askerId;
-    verdict.verdict = wire::Verdict::Refused;
-    verdict.reason = static_cast<uint8_t>(refusal.reason);
-    verdict.outcome = static_cast<uint8_t>(refusal.outcome);
-    verdict.retry_after_ms = refusal.retryAfter;
-    verdict.detail = refusal.detail;
-    SendTo(waiting.sink, std::move(verdict));
+    SendTo(waiting.sink, RefusalVerdict(waiting.askerId, refusal));
 }
 
 void KeyController::perform(const KeyRefused& action) {
@@ -260,9 +247,9 @@
     const MemberId owner = ProcessOf(action.owner);
     const bool again = node.mapped().request.attempt >= kMostForwards;
     if (again || !m_table.isLive(owner, ReadClocks().mono)) {
-        refuse(node.mapped(),
-               {RefusalReason::kOwnerAway, RunOutcome::kUnknown,
-                again ? KeyOwner::kMovingRetry : kAwayRetry, "the key's owner cannot be reached"});
+        refuse(node.mapped(), {RefusalReason::kOwnerAway, RunOutcome::kUnknown,
+                               again ? KeyOwner::kMovingRetry : KeyOwner::kAwayRetry,
+                               "the key's owner cannot be reached"});
         return;
     }
     Spawn(m_context.executor, forward(std::move(node.mapped()), owner));
@@ -293,8 +280,8 @@
             SendTo(waiting.sink, std::move(*done));
         } else {
             over = true;
-            const Refusal lost{RefusalReason::kOwnerAway, RunOutcome::kUnknown, kAwayRetry,
-                               "lost the key's owner"};
+            const Refusal lost{RefusalReason::kOwnerAway, RunOutcome::kUnknown,
+                               KeyOwner::kAwayRetry, "lost the key's owner"};
             refuse(waiting, lost);
         }
     }
@@ -411,7 +398,7 @@
 }
 
 void KeyController::onMessage(const MemberId& from, wire::BodyUnion& body) {
-    const MemberId member = WithGeneration(from, m_generations[from]);
+    const MemberId member = MemberOf(from, m_generations[from]);
     if (const auto* ask = body.AsConsentAsk()) {
         feed(KeeperEvent(ConsentAsked{member, ask->epoch, MembersOf(ask->members)}));
     } else if (const auto* reply = body.AsConsentReply()) {
--- a/src/router/KeyedCall.cpp
+++ b/src/router/KeyedCall.cpp
@@ -6,10 +6,8 @@
 
 namespace {
 
-constexpr Millis kAwayRetry = 1000;
-
 Refusal Unknown(const char* detail) {
-    return {RefusalReason::kOwnerAway, RunOutcome::kUnknown, kAwayRetry, detail};
+    return {RefusalReason::kOwnerAway, RunOutcome::kUnknown, KeyOwner::kAwayRetry, detail};
 }
 
 }  // namespace
@@ -83,9 +81,7 @@
         RunMessage message = co_await channel.receive(std::max<Millis>(1, left()));
         if (const auto* verdict = std::get_if<wire::RunVerdictT>(&message)) {
             if (verdict->verdict == wire::Verdict::Refused) {
-                co_return Refusal{static_cast<RefusalReason>(verdict->reason),
-                                  static_cast<RunOutcome>(verdict->outcome),
-                                  verdict->retry_after_ms, verdict->detail};
+                co_return RefusalOf(*verdict);
             }
         } else if (const auto* chunk = std::get_if<wire::RunChunkT>(&message)) {
             body.append(chunk->data.begin(), chunk->data.end());
--- a/src/router/PlacedCall.cpp
+++ b/src/router/PlacedCall.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr size_t kMostChoices = 16;  // Engines of each zone kind that one placement looks at.
-constexpr Millis kComeBackSoon = 1000;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 // As JSON; bytes of an engine that are not UTF-8 are replaced.
@@ -183,10 +182,10 @@
             m_placement.goTo(EngineId(verdict->engine));
             co_return Step::kNextEngine;
         case wire::Verdict::Refused:
-            m_refusal = Refusal{
-                static_cast<RefusalReason>(verdict->reason),
-                m_written ? RunOutcome::kUnknown : static_cast<RunOutcome>(verdict->outcome),
-                verdict->retry_after_ms, verdict->detail};
+            m_refusal = RefusalOf(*verdict);
+            if (m_written) {
+                m_refusal->outcome = RunOutcome::kUnknown;
+            }
             co_await giveUp(*m_refusal);
             co_return Step::kFinished;
         case wire::Verdict::Admitted:
--- a/src/router/Router.cpp
+++ b/src/router/Router.cpp
@@ -13,7 +13,6 @@
 
 constexpr Millis kDrainStep = 50;
 constexpr Millis kDrainQuiet = 300;  // Peers learn of the drain before the links close.
-constexpr Millis kComeBackSoon = 1000;
 
 }  // namespace
 
--- a/src/router/RunChannel.cpp
+++ b/src/router/RunChannel.cpp
@@ -8,6 +8,22 @@
 
 namespace onyx {
 
+wire::RunVerdictT RefusalVerdict(uint64_t id, const Refusal& refusal) {
+    wire::RunVerdictT verdict;
+    verdict.id = id;
+    verdict.verdict = wire::Verdict::Refused;
+    verdict.reason = static_cast<uint8_t>(refusal.reason);
+    verdict.outcome = static_cast<uint8_t>(refusal.outcome);
+    verdict.retry_after_ms = refusal.retryAfter;
+    verdict.detail = refusal.detail;
+    return verdict;
+}
+
+Refusal RefusalOf(const wire::RunVerdictT& verdict) {
+    return {static_cast<RefusalReason>(verdict.reason), static_cast<RunOutcome>(verdict.outcome),
+            verdict.retry_after_ms, verdict.detail};
+}
+
 RunChannel::RunChannel(asio::any_io_executor executor)
     : m_channel(executor, kMostWaiting), m_timer(executor) {}
 
