Tell each new box on once, and let a link be silent as long as its box's digests allow

Digests to 32 links of some 500 B stretch their period to 4 s within the budget, and a link on which nothing came for 2.5 s was closed and dialed again. Ruled out: cuts (most losses came in calm seconds), the digests themselves (4 KB/s by budget). Now BoxDirectory (pure) tells a newcomer on once; a link may be silent for three promised periods. Which boxes are dialed comes from one sorted ring, not from a sort for each pair, twice a second.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -27,6 +27,7 @@
   file(GLOB DECISION_SOURCES CONFIGURE_DEPENDS ${ONYX_ROOT}/src/routing/*.cpp
        ${ONYX_ROOT}/src/health/*.cpp ${ONYX_ROOT}/src/relay/*.cpp)
   target_sources(onyx_gateway PRIVATE ${DECISION_SOURCES} ${ONYX_ROOT}/src/base/Hash.cpp
+                 ${ONYX_ROOT}/src/membership/BoxDirectory.cpp
                  ${ONYX_ROOT}/src/membership/DigestTargets.cpp
                  ${ONYX_ROOT}/src/placement/PeerCounts.cpp
                  ${ONYX_ROOT}/src/placement/PromptAffinity.cpp
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -5,11 +5,13 @@
 
 #include "include/freshness/PeerKnowledge.h"
 #include "include/gateway/GatewayState.h"
+#include "include/membership/BoxDirectory.h"
 #include "include/wire/FrameLink.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -43,12 +45,11 @@
     struct Peer {
         std::shared_ptr<FrameLink> link;
         MonoTime heard;
+        Millis promised = 0;  // The period of its digests, as it told.
     };
 
     Task<> greetAccepted(Tcp::socket socket);
     Task<> dialPeers();
-    bool linksTo(const std::string& from, const std::string& to) const;
-    bool dials(const std::string& address) const;
     Task<> dial(std::string address);
     Task<> tellLoads();
     wire::HelloT hello() const;
@@ -59,17 +60,19 @@
     void answer(FrameLink& link, const wire::KnowledgeAskT& ask);
     void takeReply(const wire::KnowledgeReplyT& reply);
     void sendDigest(const PeerCounts::Counts& counts);
-    void sendBoxes(FrameLink& link) const;
+    static wire::BoxListT ListOf(const std::vector<KnownBox>& boxes);
+    void tellNewBoxes();
+    void sendToAll(const std::string& frame);
     void askWhenOld();
     void dropSilent();
 
     GatewayState& m_state;
     std::function<void(const PeerNews&)> m_onNews;
     Tcp::acceptor m_acceptor;
-    std::string m_self;                       // This life's name.
-    std::string m_address;                    // Of this box, as others dial it.
-    std::map<std::string, Peer> m_links;      // By the peer's address.
-    std::map<std::string, MonoTime> m_known;  // Addresses, and when each was last heard of.
+    std::string m_self;                   // This life's name.
+    std::string m_address;                // Of this box, as others dial it.
+    std::map<std::string, Peer> m_links;  // By the peer's address.
+    std::optional<BoxDirectory> m_boxes;  // Once this box knows its own address.
     std::set<std::string> m_dialing;
     PeerKnowledge m_knowledge;
     MonoTime m_lastAsk;
--- /dev/null
+++ b/include/membership/BoxDirectory.h
@@ -0,0 +1,81 @@
+// The boxes of a site that this box has heard of: which of them it dials, and what it tells on.
+// Newcomers are told on once, so that the control bytes of a large site grow with its changes and
+// not with its links.
+#pragma once
+
+#include "include/base/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace onyx {
+
+// A box as others dial it.
+struct KnownBox {
+    std::string address;  // "ip:port" of its frames.
+    std::string zone;     // Empty while nobody told it.
+    friend bool operator==(const KnownBox&, const KnownBox&) = default;
+};
+
+// Not thread safe: one task owns it.
+class BoxDirectory {
+public:
+    // `self`: this box. `mostDialed`: boxes that each box dials in a site of many.
+    // Preconditions: mostDialed > 0.
+    BoxDirectory(KnownBox self, size_t mostDialed);
+
+    // Takes in what another box tells of `box`, which does not show that it lives.
+    // Preconditions: none.
+    void learn(const KnownBox& box, MonoTime now);
+
+    // Something came from `box` itself. Preconditions: times do not fall.
+    void heard(const KnownBox& box, MonoTime now);
+
+    // Forgets boxes that were last heard of before `oldest`, but for those that `keep` names.
+    // Preconditions: none.
+    void forget(MonoTime oldest, const std::function<bool(const std::string&)>& keep);
+
+    // The boxes that became known, or whose zone did, since the last call; they are to be told on.
+    // Preconditions: none.
+    std::vector<KnownBox> takeNews();
+
+    // All boxes, this one included. Preconditions: none.
+    std::vector<KnownBox> all() const;
+
+    // The boxes that this one is to dial. In a small site that is about half of them, since of two
+    // boxes one dials; in a large one a stable sample. `alone`: this box has no link yet, so it
+    // dials all that it knows, as nobody may know of it. Preconditions: none.
+    std::vector<std::string> toDial(bool alone) const;
+
+    // Addresses of the boxes of this box's zone, this one included, in an order that all boxes
+    // agree on as far as they know the same boxes. Preconditions: none.
+    std::vector<std::string> zoneOrder() const;
+
+    // Boxes known, this one included. Preconditions: none.
+    size_t size() const { return m_boxes.size() + 1; }
+
+private:
+    struct Entry {
+        std::string zone;
+        MonoTime heard;
+    };
+
+    Entry& note(const KnownBox& box, MonoTime now);
+    void arrange();
+    bool links(size_t from, size_t to) const;
+
+    KnownBox m_self;
+    size_t m_mostDialed;
+    std::map<std::string, Entry> m_boxes;  // By address.
+    std::vector<std::string> m_news;       // Addresses.
+    // All boxes in the order of their hashes: each dials those that follow it.
+    std::vector<std::pair<uint64_t, std::string>> m_ring;
+    size_t m_selfIndex = 0;
+};
+
+}  // namespace onyx
--- a/include/membership/DigestTargets.h
+++ b/include/membership/DigestTargets.h
@@ -20,4 +20,8 @@
 // bytes a second. Thread safety: any thread.
 Millis DigestPeriod(Millis wanted, size_t peers, size_t bytes, int64_t budget);
 
+// How long a box may say nothing before its link counts as dead. `promised`: the period of its
+// digests that it told last, 0 if it told none. Preconditions: none. Thread safety: any thread.
+Millis SilenceBound(Millis promised);
+
 }  // namespace onyx
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -15,7 +15,6 @@
 constexpr size_t kMostDialed = 16;      // Boxes that this box dials; as many dial it.
 // Digests of a box are believed for this many of the periods that it tells.
 constexpr Millis kPeriodsBelieved = 3;
-constexpr Millis kSilence = 2500;  // A link on which nothing came for this long is closed.
 constexpr Millis kForgetAddress = 60000;
 constexpr Millis kAskPeriod = 400;
 constexpr Millis kLeastBelieved = 1200;
@@ -48,11 +47,11 @@
     BOOST_OUTCOME_TRY(m_acceptor, Listen(m_state.io, m_state.settings.peers, "peers.listen"));
     m_address = EndpointText(m_acceptor.local_endpoint());
     m_self += "@" + m_address;
+    m_boxes.emplace(KnownBox{m_address, m_state.settings.zone}, kMostDialed);
     const MonoTime now = ReadClocks().mono;
     for (const Endpoint& seed : m_state.settings.seeds) {
-        m_known[EndpointText(seed)] = now;
+        m_boxes->learn({EndpointText(seed), {}}, now);
     }
-    m_known.erase(m_address);
     const auto executor = m_state.io.get_executor();
     const auto greet = [this, executor](Tcp::socket socket) {
         Spawn(executor, greetAccepted(std::move(socket)));
@@ -80,43 +79,16 @@
     }
 }
 
-// A small site is linked whole; in a large one each box dials a stable sample of the others.
-bool PeerMesh::linksTo(const std::string& from, const std::string& to) const {
-    std::vector<MemberId> others;
-    size_t wanted = 0;
-    const auto add = [&](const std::string& address) {
-        if (address != from) {
-            wanted = address == to ? others.size() : wanted;
-            others.emplace_back(address);
-        }
-    };
-    add(m_address);
-    for (const auto& [address, heard] : m_known) {
-        add(address);
-    }
-    const std::vector<size_t> targets = DigestTargets(MemberId(from), others, kMostDialed);
-    return std::find(targets.begin(), targets.end(), wanted) != targets.end();
-}
-
-// Where two boxes would dial each other, the one with the smaller address does. A seed may not
-// know of this box yet, so before it has any link a box dials all that it knows.
-bool PeerMesh::dials(const std::string& address) const {
-    if (m_links.empty()) {
-        return true;
-    }
-    return linksTo(m_address, address) && (m_address < address || !linksTo(address, m_address));
-}
-
 Task<> PeerMesh::dialPeers() {
     while (true) {
         const MonoTime now = ReadClocks().mono;
         dropSilent();
-        std::erase_if(m_known, [&](const auto& entry) {
-            return now - entry.second > kForgetAddress && !m_links.contains(entry.first);
-        });
-        m_state.boxesKnown = m_known.size() + 1;
-        for (const auto& [address, heard] : m_known) {
-            if (!m_links.contains(address) && dials(address) && m_dialing.insert(address).second) {
+        tellNewBoxes();
+        m_boxes->forget(now - kForgetAddress,
+                        [this](const std::string& address) { return m_links.contains(address); });
+        m_state.boxesKnown = m_boxes->size();
+        for (const std::string& address : m_boxes->toDial(m_links.empty())) {
+            if (!m_links.contains(address) && m_dialing.insert(address).second) {
                 Spawn(m_state.io.get_executor(), dial(address));
             }
         }
@@ -152,13 +124,11 @@
     }
     const MonoTime now = ReadClocks().mono;
     m_links[address] = {link, now};
-    m_known[address] = now;
+    m_boxes->heard({address, link->peer().zone}, now);
     logEvent(Event::kPeerUp, {{"peer", link->peer().box}, {"address", address}});
     link->start([this](FrameLink& from, wire::BodyUnion& body) { onFrame(from, body); },
                 [this](FrameLink& closed) { onClosed(closed); });
-    for (const auto& [other, peer] : m_links) {
-        sendBoxes(*peer.link);
-    }
+    link->send(ListOf(m_boxes->all()));
 }
 
 void PeerMesh::onClosed(FrameLink& link) {
@@ -174,7 +144,7 @@
     const MonoTime now = ReadClocks().mono;
     std::vector<std::shared_ptr<FrameLink>> silent;
     for (const auto& [address, peer] : m_links) {
-        if (now - peer.heard > kSilence) {
+        if (now - peer.heard > SilenceBound(peer.promised)) {
             silent.push_back(peer.link);
         }
     }
@@ -183,21 +153,43 @@
     }
 }
 
-void PeerMesh::sendBoxes(FrameLink& link) const {
+wire::BoxListT PeerMesh::ListOf(const std::vector<KnownBox>& boxes) {
     wire::BoxListT list;
-    for (const auto& [address, heard] : m_known) {
+    for (const KnownBox& box : boxes) {
         auto entry = std::make_unique<wire::BoxEntryT>();
-        entry->address = address;
+        entry->address = box.address;
+        entry->zone = box.zone;
         list.boxes.push_back(std::move(entry));
     }
-    link.send(std::move(list));
+    return list;
+}
+
+void PeerMesh::tellNewBoxes() {
+    const std::vector<KnownBox> news = m_boxes->takeNews();
+    if (news.empty()) {
+        return;
+    }
+    const std::string frame = EncodeMessage(ListOf(news));
+    sendToAll(frame);
+}
+
+// A link that takes no more is closed while it is sent to, so the links are not walked themselves.
+void PeerMesh::sendToAll(const std::string& frame) {
+    std::vector<std::shared_ptr<FrameLink>> links;
+    for (const auto& [address, peer] : m_links) {
+        links.push_back(peer.link);
+    }
+    for (const auto& link : links) {
+        link->sendEncoded(frame);
+    }
+    m_state.metrics.count("onyx_peer_bytes_sent_total", {}, links.size() * frame.size());
 }
 
 void PeerMesh::learn(const wire::BoxListT& list) {
     const MonoTime now = ReadClocks().mono;
     for (const auto& entry : list.boxes) {
-        if (entry && entry->address != m_address && ParseEndpoint(entry->address).has_value()) {
-            m_known.try_emplace(entry->address, now);
+        if (entry && ParseEndpoint(entry->address).has_value()) {
+            m_boxes->learn({entry->address, entry->zone}, now);
         }
     }
 }
@@ -210,13 +202,14 @@
         return;
     }
     it->second.heard = now;
-    m_known[address] = now;
+    m_boxes->heard({address, link.peer().zone}, now);
     if (const auto* digest = body.AsDigest()) {
         PeerCounts::Counts counts;
         for (const auto& load : digest->loads) {
             counts.emplace_back(load.engine(), load.load());
         }
-        const Millis told = kPeriodsBelieved * static_cast<Millis>(digest->next_ms);
+        it->second.promised = static_cast<Millis>(digest->next_ms);
+        const Millis told = kPeriodsBelieved * it->second.promised;
         m_state.peerCounts.take(address, counts, now, std::max(kLeastBelieved, told));
     } else if (const auto* list = body.AsBoxList()) {
         learn(*list);
@@ -300,12 +293,9 @@
     wire::BodyUnion body;
     body.Set(std::move(digest));
     const std::string frame = EncodeFrame(body);
-    for (const auto& [address, peer] : m_links) {
-        peer.link->sendEncoded(frame);
-    }
+    sendToAll(frame);
     m_digestPeriod =
         DigestPeriod(kDigestPeriod, m_links.size(), frame.size(), m_state.settings.digestBudget);
-    m_state.metrics.count("onyx_peer_bytes_sent_total", {}, m_links.size() * frame.size());
     m_state.metrics.set("onyx_peer_links", {}, static_cast<double>(m_links.size()));
 }
 
--- /dev/null
+++ b/src/membership/BoxDirectory.cpp
@@ -0,0 +1,118 @@
+#include "include/membership/BoxDirectory.h"
+
+#include "include/base/Hash.h"
+
+#include <algorithm>
+
+namespace onyx {
+
+BoxDirectory::BoxDirectory(KnownBox self, size_t mostDialed)
+    : m_self(std::move(self)), m_mostDialed(mostDialed) {
+    arrange();
+}
+
+void BoxDirectory::arrange() {
+    m_ring.clear();
+    m_ring.emplace_back(HashText(m_self.address), m_self.address);
+    for (const auto& [address, entry] : m_boxes) {
+        m_ring.emplace_back(HashText(address), address);
+    }
+    std::sort(m_ring.begin(), m_ring.end());
+    const auto self = std::find_if(m_ring.begin(), m_ring.end(), [&](const auto& place) {
+        return place.second == m_self.address;
+    });
+    m_selfIndex = static_cast<size_t>(self - m_ring.begin());
+}
+
+BoxDirectory::Entry& BoxDirectory::note(const KnownBox& box, MonoTime now) {
+    const auto [it, isNew] = m_boxes.try_emplace(box.address, Entry{box.zone, now});
+    const bool tellsZone = !box.zone.empty() && it->second.zone != box.zone;
+    if (tellsZone) {
+        it->second.zone = box.zone;
+    }
+    if (isNew) {
+        arrange();
+    }
+    if (isNew || tellsZone) {
+        m_news.push_back(box.address);
+    }
+    return it->second;
+}
+
+void BoxDirectory::learn(const KnownBox& box, MonoTime now) {
+    if (box.address != m_self.address) {
+        note(box, now);
+    }
+}
+
+void BoxDirectory::heard(const KnownBox& box, MonoTime now) {
+    if (box.address != m_self.address) {
+        note(box, now).heard = now;
+    }
+}
+
+void BoxDirectory::forget(MonoTime oldest, const std::function<bool(const std::string&)>& keep) {
+    const size_t gone = std::erase_if(
+        m_boxes, [&](const auto& box) { return box.second.heard < oldest && !keep(box.first); });
+    if (gone > 0) {
+        arrange();
+    }
+}
+
+std::vector<KnownBox> BoxDirectory::takeNews() {
+    std::vector<KnownBox> news;
+    for (const std::string& address : std::exchange(m_news, {})) {
+        const auto it = m_boxes.find(address);
+        if (it != m_boxes.end()) {
+            news.push_back({address, it->second.zone});
+        }
+    }
+    return news;
+}
+
+std::vector<KnownBox> BoxDirectory::all() const {
+    std::vector<KnownBox> boxes{m_self};
+    for (const auto& [address, entry] : m_boxes) {
+        boxes.push_back({address, entry.zone});
+    }
+    return boxes;
+}
+
+// Whether the box at one place of the ring dials the one at another.
+bool BoxDirectory::links(size_t from, size_t to) const {
+    const size_t distance = (to + m_ring.size() - from) % m_ring.size();
+    return distance >= 1 && distance <= m_mostDialed;
+}
+
+std::vector<std::string> BoxDirectory::toDial(bool alone) const {
+    std::vector<std::string> dialed;
+    for (size_t i = 0; i < m_ring.size(); ++i) {
+        const std::string& address = m_ring[i].second;
+        if (i == m_selfIndex) {
+            continue;
+        }
+        // Where two boxes would dial each other, the one with the smaller address does.
+        const bool isOurs =
+            links(m_selfIndex, i) && (m_self.address < address || !links(i, m_selfIndex));
+        if (alone || isOurs) {
+            dialed.push_back(address);
+        }
+    }
+    return dialed;
+}
+
+std::vector<std::string> BoxDirectory::zoneOrder() const {
+    std::vector<std::string> order{m_self.address};
+    for (const auto& [address, entry] : m_boxes) {
+        if (entry.zone == m_self.zone) {
+            order.push_back(address);
+        }
+    }
+    const uint64_t zone = HashText(m_self.zone);
+    std::sort(order.begin(), order.end(), [&](const std::string& a, const std::string& b) {
+        return RendezvousScore(zone, a) > RendezvousScore(zone, b);
+    });
+    return order;
+}
+
+}  // namespace onyx
--- a/src/membership/DigestTargets.cpp
+++ b/src/membership/DigestTargets.cpp
@@ -6,6 +6,13 @@
 
 namespace onyx {
 
+namespace {
+
+constexpr Millis kLeastSilence = 2500;
+constexpr Millis kPeriodsMissed = 3;  // So many digests in a row may be late.
+
+}  // namespace
+
 std::vector<size_t> DigestTargets(const MemberId& self, std::span<const MemberId> others,
                                   size_t most) {
     // The boxes on a ring in the order of their hashes; the next ones get the digests. So each box
@@ -30,4 +37,8 @@
     return std::max<Millis>(wanted, perRound * 1000 / budget);
 }
 
+Millis SilenceBound(Millis promised) {
+    return std::max(kLeastSilence, kPeriodsMissed * promised);
+}
+
 }  // namespace onyx
