--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -25,7 +25,8 @@
   target_link_libraries(onyx_gateway PUBLIC onyx_runtime)
 else()
   file(GLOB DECISION_SOURCES CONFIGURE_DEPENDS ${ONYX_ROOT}/src/routing/*.cpp
-       ${ONYX_ROOT}/src/health/*.cpp ${ONYX_ROOT}/src/relay/*.cpp)
+       ${ONYX_ROOT}/src/health/*.cpp ${ONYX_ROOT}/src/relay/*.cpp
+       ${ONYX_ROOT}/src/freshness/*.cpp)
   target_sources(onyx_gateway PRIVATE ${DECISION_SOURCES} ${ONYX_ROOT}/src/base/Hash.cpp
                  ${ONYX_ROOT}/src/membership/BoxDirectory.cpp
                  ${ONYX_ROOT}/src/membership/DigestTargets.cpp
--- a/include/freshness/PeerKnowledge.h
+++ b/include/freshness/PeerKnowledge.h
@@ -3,13 +3,19 @@
 //
 // An answer counts from when the question was sent, less the age that it tells. A message that
 // nobody asked for proves nothing: it may have been on its way for any time.
+//
+// Most questions ask for ages and revisions only. What is newer somewhere is fetched from one box
+// at a time: a configuration can be larger than what a box's line carries in a second.
 #pragma once
 
 #include "include/base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace onyx {
 
@@ -17,29 +23,34 @@
 class PeerKnowledge {
 public:
     static constexpr size_t kMostRounds = 64;  // Questions that still may be answered.
+    static constexpr size_t kMostAsked = 8;    // Boxes that are asked in one round.
+    // A box that was asked for more than ages and has not answered for this long is given up on.
+    static constexpr Millis kFetchPatience = 1000;
 
     // Notes that a question is sent now and returns its number. Preconditions: times do not fall.
-    uint64_t ask(MonoTime now) {
-        m_asked[++m_round] = now;
-        if (m_asked.size() > kMostRounds) {
-            m_asked.erase(m_asked.begin());
-        }
-        return m_round;
-    }
+    uint64_t ask(MonoTime now);
 
     // As of when this box knows what the answering box knew, or nothing if the answer belongs to
     // no question or tells no age. Preconditions: none.
-    std::optional<MonoTime> answered(uint64_t round, Millis age) const {
-        const auto it = m_asked.find(round);
-        if (it == m_asked.end() || age < 0) {
-            return std::nullopt;
-        }
-        return it->second - age;
-    }
+    std::optional<MonoTime> answered(uint64_t round, Millis age) const;
+
+    // The boxes to ask in the next round: all of a few, else some of them in turn.
+    // Preconditions: none.
+    std::vector<std::string> nextAsked(const std::vector<std::string>& peers);
+
+    // Begins to fetch from a box what it has newer: the number of that question, or nothing while
+    // another fetch is under way. Preconditions: times do not fall.
+    std::optional<uint64_t> startFetch(MonoTime now);
+
+    // The question `round` was answered; if it was a fetch, another may start.
+    // Preconditions: none.
+    void endFetch(uint64_t round);
 
 private:
     uint64_t m_round = 0;
     std::map<uint64_t, MonoTime> m_asked;
+    size_t m_turn = 0;
+    std::optional<uint64_t> m_fetch;  // Its question, while one is under way.
 };
 
 }  // namespace onyx
--- /dev/null
+++ b/include/freshness/WatchDelegation.h
@@ -0,0 +1,72 @@
+// Which boxes of a zone watch the store, and which ask one of those instead. Watches of every box
+// would make a store's calls grow with the boxes; a few of each zone watch, and the others follow.
+//
+// Nothing is agreed on. Each box orders the boxes of its zone alike as far as it knows the same
+// ones; the first few are its watchers. A follower counts on nothing but the age that its watcher
+// tells: as soon as that grows, the watcher is silent, or it does not watch, the follower watches
+// by itself for a while. So two boxes that order differently cost a few calls, never a stale list.
+#pragma once
+
+#include "include/base/Time.h"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace onyx {
+
+// All times in milliseconds.
+struct WatchDelegationSettings {
+    size_t boxesPerWatcher = 16;
+    size_t leastBoxes = 5;  // In a zone of fewer, every box watches.
+    Millis mostAge = 1200;  // A follower with older knowledge watches by itself,
+    Millis alone = 10000;   // for at least this long.
+};
+
+// What a watcher says of its knowledge.
+struct WatcherReply {
+    bool watches = false;       // It watches the store itself.
+    std::optional<Millis> age;  // Of the older of its two lists; nothing if it lacks one.
+};
+
+// Not thread safe: one task owns it.
+class WatchDelegation {
+public:
+    explicit WatchDelegation(const WatchDelegationSettings& settings) : m_settings(settings) {}
+
+    // The box to ask, or empty if this one is to watch by itself. `zoneOrder`: addresses of the
+    // zone's boxes in their common order, this one included. `linked`: whether a box can be asked.
+    // Preconditions: times do not fall.
+    const std::string& choose(std::span<const std::string> zoneOrder, std::string_view self,
+                              const std::function<bool(const std::string&)>& linked, MonoTime now);
+
+    // The watcher that this box prefers to follow, linked or not; empty if there is none. A link to
+    // it is worth keeping. Preconditions: as for choose().
+    std::string preferred(std::span<const std::string> zoneOrder, std::string_view self,
+                          MonoTime now) const;
+
+    // Takes in what `from` replied. Preconditions: none.
+    void replied(std::string_view from, const WatcherReply& reply, MonoTime now);
+
+    // Takes in how old this box's knowledge is by now; nothing if it lacks some.
+    // Preconditions: as for choose().
+    void noteAge(std::optional<Millis> age, MonoTime now);
+
+    // Whether the box that choose() named tells what the store would. Preconditions: none.
+    bool following() const { return m_following; }
+
+private:
+    std::span<const std::string> watchersFor(std::span<const std::string> zoneOrder,
+                                             std::string_view self, MonoTime now) const;
+    void watchAlone(MonoTime now);
+
+    WatchDelegationSettings m_settings;
+    std::string m_watcher;  // Empty: none.
+    bool m_following = false;
+    MonoTime m_aloneUntil;
+};
+
+}  // namespace onyx
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "include/gateway/GatewayState.h"
+#include "include/gateway/KnowledgeExchange.h"
 #include "include/gateway/PeerMesh.h"
 #include "include/net/HttpServer.h"
 #include "include/store/StoreWatch.h"
@@ -40,6 +41,9 @@
     // Links to other boxes that stand. Preconditions: none.
     size_t links() const { return m_peers.links(); }
 
+    // Whether it follows another box in place of watching the store. Preconditions: none.
+    bool following() const { return m_knowledge.following(); }
+
     // Whether the balancer may send callers here. Preconditions: none.
     bool ready() const;
 
@@ -51,9 +55,14 @@
     void onUpstreams(const StoreNews& news);
     void takeConfiguration(const nlohmann::json& content);
     void onPeerNews(const PeerNews& news);
-    void takeUpstream(const StoredObject& object);
-    void forgetUpstream(const std::string& id);
+    UpstreamChanges readUpstreams(const StoreNews& news);
+    void applyUpstreams(const UpstreamChanges& changes, std::string_view source);
+    void takeUpstream(const Upstream& upstream, uint64_t revision, std::string_view source);
+    void forgetUpstream(const std::string& id, uint64_t revision, std::string_view source);
     Millis restAfterUpstreams() const;
+    Millis watchWait(ObjectKind kind) const;
+    StoreWatch& watchOf(ObjectKind kind);
+    void onFollowing(bool following);
     void onReachable(ObjectKind kind, const std::string& why);
     void logUpstream(const Upstream& upstream, std::string_view source) const;
     Task<> serveCaller(std::shared_ptr<CallerConnection> caller);
@@ -68,6 +77,7 @@
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
     PeerMesh m_peers;
+    KnowledgeExchange m_knowledge;
     std::unique_ptr<StoreWatch> m_configurationWatch;
     std::unique_ptr<StoreWatch> m_upstreamWatch;
     std::set<std::shared_ptr<CallerConnection>> m_resting;  // Wait for a request.
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 
 #include "include/admission/RetryAllowance.h"
 #include "include/config/Settings.h"
+#include "include/freshness/WatchDelegation.h"
 #include "include/health/UpstreamHealth.h"
 #include "include/placement/PromptAffinity.h"
 
@@ -30,6 +31,9 @@
     Millis restPerBox = 8;            // After news of upstreams, before the next watch: this for
     Millis mostUpstreamRest = 500;    // each box of the site, and at most this.
     Millis storeTimeout = 1500;       // For a store's answer, beyond the time that it may be held.
+    WatchDelegationSettings delegation;
+    Millis followPeriod = 333;  // A follower asks its watcher this often.
+    Millis followedWait = 500;  // How long a watch is held by a box that others follow.
 
     Millis connectTimeout = 300;    // To an upstream.
     Millis stallTimeout = 1500;     // Longest silence of a stream that can go on elsewhere.
--- a/include/gateway/GatewayState.h
+++ b/include/gateway/GatewayState.h
@@ -48,6 +48,9 @@
     // Whether a key may be let through on what is known now. Preconditions: none.
     bool knowsKeys(MonoTime now) const { return keysKnown.within(settings.keyKnowledge, now); }
 
+    // Whether the store answers this box, as far as its last calls tell. Preconditions: none.
+    bool storeAnswers() const { return configurationTold && upstreamsTold; }
+
     asio::io_context& io;
     const GatewaySettings& settings;
     const Dialect& dialect;
@@ -55,9 +58,11 @@
     std::shared_ptr<const Catalog> catalog;  // Null until one is known.
     std::string catalogContent;              // The same as text, for other boxes.
     KnowledgeAge keysKnown;                  // How old the catalog is.
+    KnowledgeAge upstreamsKnown;             // How old the list of upstreams is.
     UpstreamTable upstreams;
     bool upstreamsListed = false;
-    bool upstreamsTold = false;  // The store tells this box of upstreams now.
+    bool configurationTold = false;  // The store answered the last call for it,
+    bool upstreamsTold = false;      // and the last one for upstreams.
     UpstreamHealth health;
     UpstreamLoads loads;
     PromptHolders holders{kPartsRemembered, kPartAge};
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -1,9 +1,8 @@
-// The links between the gateways of a site: each tells the others what it has in flight, and may
-// ask them how old their knowledge of the configuration is. Nothing is agreed on here, and a box
-// without links goes on serving.
+// The links between the gateways of a site: finds the other boxes, holds links to all of a few and
+// to a sample of many, and tells over them what this box has in flight. What boxes ask each other
+// of the store is the KnowledgeExchange's matter. A box without links goes on serving.
 #pragma once
 
-#include "include/freshness/PeerKnowledge.h"
 #include "include/gateway/GatewayState.h"
 #include "include/membership/BoxDirectory.h"
 #include "include/wire/FrameLink.h"
@@ -17,19 +16,17 @@
 
 namespace onyx {
 
-// A configuration that a peer sent, and as of when this box knows what that peer knew.
-struct PeerNews {
-    std::string content;  // Empty: the peer has no higher revision than this box.
-    uint64_t revision = 0;
-    MonoTime asOf;
-    std::vector<Upstream> upstreams;  // Empty unless they were asked for and the peer knows them.
-};
-
 // Not thread safe: one io_context.
 class PeerMesh {
 public:
+    // What comes over the links for others than the mesh. `from`: the address of the sender.
+    struct Sink {
+        std::function<void(const std::string& from, const wire::KnowledgeAskT&)> onAsk;
+        std::function<void(const std::string& from, const wire::KnowledgeReplyT&)> onReply;
+    };
+
     // Preconditions: the state outlives the mesh.
-    PeerMesh(GatewayState& state, std::function<void(const PeerNews&)> onNews);
+    PeerMesh(GatewayState& state, Sink sink);
 
     // Listens and begins to dial. Errors: kUnavailable if the address cannot be bound.
     // Preconditions: called once.
@@ -38,9 +35,32 @@
     // Where it listens. Preconditions: start() succeeded.
     Endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
+    // This box as others dial it. Preconditions: start() succeeded.
+    const std::string& address() const { return m_address; }
+
     // Links that stand. Preconditions: none.
     size_t links() const { return m_links.size(); }
 
+    // Addresses of the boxes to which links stand. Preconditions: none.
+    std::vector<std::string> linked() const;
+
+    // Whether a link to `address` stands. Preconditions: none.
+    bool isLinked(const std::string& address) const { return m_links.contains(address); }
+
+    // Addresses of the zone's boxes in their common order, this one included.
+    // Preconditions: start() succeeded.
+    std::vector<std::string> zoneOrder() const { return m_boxes->zoneOrder(); }
+
+    // Keeps a link to `address`, beside those that it keeps anyway; empty: to no other box.
+    // Preconditions: none.
+    void keepLinked(std::string address) { m_wanted = std::move(address); }
+
+    // Sends a message to one box; dropped if there is no link to it. Preconditions: none.
+    template <class Message>
+    void send(const std::string& address, Message message) {
+        sendTo(address, EncodeMessage(std::move(message)));
+    }
+
 private:
     struct Peer {
         std::shared_ptr<FrameLink> link;
@@ -50,32 +70,33 @@
 
     Task<> greetAccepted(Tcp::socket socket);
     Task<> dialPeers();
+    void dialMissing();
     Task<> dial(std::string address);
     Task<> tellLoads();
     wire::HelloT hello() const;
     void adopt(const std::shared_ptr<FrameLink>& link);
     void onFrame(FrameLink& link, wire::BodyUnion& body);
+    void takeDigest(Peer& peer, const std::string& address, const wire::DigestT& digest);
     void onClosed(FrameLink& link);
     void learn(const wire::BoxListT& list);
-    void answer(FrameLink& link, const wire::KnowledgeAskT& ask);
-    void takeReply(const wire::KnowledgeReplyT& reply);
     void sendDigest(const PeerCounts::Counts& counts);
     static wire::BoxListT ListOf(const std::vector<KnownBox>& boxes);
     void tellNewBoxes();
-    void sendToAll(const std::string& frame);
-    void askWhenOld();
+    void sendTo(const std::string& address, std::string frame);
+    // Whom a frame to several boxes is for.
+    enum class Audience : uint8_t { kAll, kNeighbours };
+    void sendToMany(Audience audience, const std::string& frame);
     void dropSilent();
 
     GatewayState& m_state;
-    std::function<void(const PeerNews&)> m_onNews;
+    Sink m_sink;
     Tcp::acceptor m_acceptor;
     std::string m_self;                   // This life's name.
     std::string m_address;                // Of this box, as others dial it.
     std::map<std::string, Peer> m_links;  // By the peer's address.
     std::optional<BoxDirectory> m_boxes;  // Once this box knows its own address.
+    std::string m_wanted;                 // A box to be linked to besides; empty: none.
     std::set<std::string> m_dialing;
-    PeerKnowledge m_knowledge;
-    MonoTime m_lastAsk;
     MonoTime m_lastDigest;
     PeerCounts::Counts m_told;
     Millis m_digestPeriod = 100;
--- a/include/membership/BoxDirectory.h
+++ b/include/membership/BoxDirectory.h
@@ -52,6 +52,10 @@
     // dials all that it knows, as nobody may know of it. Preconditions: none.
     std::vector<std::string> toDial(bool alone) const;
 
+    // Whether this box dials `address`, or would be dialed by it: the two tell each other what they
+    // have in flight. Preconditions: none.
+    bool isNeighbour(const std::string& address) const;
+
     // Addresses of the boxes of this box's zone, this one included, in an order that all boxes
     // agree on as far as they know the same boxes. Preconditions: none.
     std::vector<std::string> zoneOrder() const;
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -50,6 +50,7 @@
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
+    kFollowing = 2203,
     kReadiness = 2300,
     kReloaded = 2301,
 };
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -1,10 +1,12 @@
-// The upstreams that exist, as the store lists them.
+// The upstreams that exist, as the store lists them, and what changed since any of its revisions,
+// so that boxes can tell each other changes in place of the whole list.
 #pragma once
 
 #include "include/base/Ids.h"
 #include "include/base/Time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -23,20 +25,35 @@
     friend bool operator==(const Upstream&, const Upstream&) = default;
 };
 
+// What changed in the list of upstreams up to a revision of the store.
+struct UpstreamChanges {
+    bool whole = false;  // `changed` is the whole list, not changes of it.
+    uint64_t revision = 0;
+    std::vector<Upstream> changed;
+    std::vector<std::string> removed;  // Ids.
+};
+
 // Not thread safe: one task owns it.
 class UpstreamTable {
 public:
-    // Takes in one upstream, new or changed; `since`: when it came, if it is new.
-    // Preconditions: it has an id.
-    void put(Upstream upstream, MonoTime since);
+    // Takes in one upstream, new or changed, as the store has it at `revision`; `since`: when it
+    // came, if it is new. Preconditions: it has an id.
+    void put(Upstream upstream, MonoTime since, uint64_t revision);
+
+    // Takes out the upstream `id`, which the store no longer has at `revision`.
+    // Preconditions: none.
+    void remove(const std::string& id, uint64_t revision);
 
-    // Takes in what another box knows of an upstream. That may be older than what this box knows:
-    // one that leaves here stays so, and one that was taken out here does not come back.
-    // True if something changed. Preconditions: it has an id.
-    bool mergeFromPeer(Upstream upstream, MonoTime since);
+    // All that the store has at `revision` is taken in. A lower one than before means that the
+    // store was restored: what was told of changes until then is void. Preconditions: none.
+    void setRevision(uint64_t revision);
 
-    // Takes out the upstream `id`. Preconditions: none.
-    void remove(const std::string& id);
+    // The store's revision that this list is as of; 0 before the first. Preconditions: none.
+    uint64_t revision() const { return m_revision; }
+
+    // What changed since `revision`: the whole list if that is too long ago to say.
+    // Preconditions: none.
+    UpstreamChanges changesSince(uint64_t revision) const;
 
     // The upstream `id`, or nullptr. Valid until the next change. Preconditions: none.
     const Upstream* find(const std::string& id) const;
@@ -49,16 +66,24 @@
     struct Entry {
         Upstream upstream;
         MonoTime since;
+        uint64_t changedAt = 0;  // Revision of the store.
     };
 
     // All of them, by id. Preconditions: none.
     const std::map<std::string, Entry>& all() const { return m_entries; }
 
 private:
-    static constexpr size_t kMostRemoved = 1000;  // Names remembered of those taken out.
+    static constexpr size_t kMostRemoved = 1000;  // Remembered of those taken out.
+
+    struct Removed {
+        std::string id;
+        uint64_t at = 0;
+    };
 
     std::map<std::string, Entry> m_entries;
-    std::deque<std::string> m_removed;
+    std::deque<Removed> m_removed;
+    uint64_t m_revision = 0;
+    uint64_t m_oldest = 0;  // Changes since an older revision are not known.
 };
 
 }  // namespace onyx
--- a/include/standin/FakeLink.h
+++ b/include/standin/FakeLink.h
@@ -16,6 +16,9 @@
     // Listens on a port chosen by the kernel and starts. Errors: kUnavailable.
     Result<Endpoint> listen();
 
+    // Lets nothing pass from now on, or everything again. Preconditions: none.
+    void setCut(bool cut) { m_cut = cut; }
+
     // Serves a control request. Preconditions: called in a coroutine of the context.
     Task<> handle(HttpExchange& exchange);
 
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -1,9 +1,11 @@
 // One kind of objects of the store, followed: listed once, then watched, listed again after a gap.
+// It can rest while another box tells what it would have told.
 #pragma once
 
 #include "include/dialect/Dialect.h"
 #include "include/net/Net.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -19,9 +21,8 @@
 struct StoreWatchSettings {
     Endpoint store;
     ObjectKind kind = ObjectKind::kConfiguration;
-    Millis wait = 2000;      // How long a watch is held.
-    Millis timeout = 1500;   // For an answer, beyond `wait`.
-    bool staggered = false;  // Watches are held for StaggeredWait of `wait`, not for all of it.
+    Millis timeout = 1500;   // For an answer, beyond the time that a watch is held.
+    bool staggered = false;  // Watches are held for StaggeredWait of their time, not for all of it.
     Millis firstPause = 50;  // After a failure; doubles up to mostPause.
     Millis mostPause = 400;
 };
@@ -31,6 +32,7 @@
     std::vector<StoredObject> objects;
     bool whole = false;  // The objects are all that there are, not changes.
     MonoTime asOf;       // Everything acknowledged before this is covered.
+    uint64_t revision = 0;
 };
 
 // Keeps one connection and has one call under way at a time. Not thread safe: one io_context.
@@ -43,6 +45,7 @@
         std::function<void()> onCall;  // A call was sent.
         // Pause after a watch that told of changes; those that follow it come together.
         std::function<Millis()> rest;
+        std::function<Millis()> wait;  // How long the next watch is held.
     };
 
     // Preconditions: the dialect outlives the watch.
@@ -52,6 +55,16 @@
     // Follows the objects until the process ends. Preconditions: called once.
     Task<> run();
 
+    // Makes no more calls once the one under way has ended, until resume() or refresh().
+    // Preconditions: none.
+    void pause() { m_paused = true; }
+
+    // Goes on, with a list. Preconditions: none.
+    void resume();
+
+    // Lists once more, also while it is paused. Preconditions: none.
+    void refresh();
+
 private:
     struct Answer {
         unsigned status = 0;
@@ -61,6 +74,7 @@
     Task<Result<bool>> list();
     Task<Result<bool>> watch();
     Millis nextWait();
+    Task<> waitWhilePaused();
     Task<Result<Answer>> call(std::string target, Millis timeout);
     Task<Result<bool>> connect();
     void disconnect();
@@ -74,6 +88,8 @@
     Sink m_sink;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
+    asio::steady_timer m_wake;  // Cancelled when a pause may be over.
+    bool m_paused = false;
     bool m_listed = false;
     uint64_t m_revision = 0;
     std::minstd_rand m_random{std::random_device{}()};
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,7 +17,16 @@
 Gateway::Gateway(asio::io_context& io, const GatewaySettings& settings, const Dialect& dialect)
     : m_state(io, settings, dialect),
       m_acceptor(io),
-      m_peers(m_state, [this](const PeerNews& news) { onPeerNews(news); }) {}
+      m_peers(m_state, {[this](const std::string& from, const wire::KnowledgeAskT& ask) {
+                            m_knowledge.onAsk(from, ask);
+                        },
+                        [this](const std::string& from, const wire::KnowledgeReplyT& reply) {
+                            m_knowledge.onReply(from, reply);
+                        }}),
+      m_knowledge(m_state, m_peers,
+                  {[this](const PeerNews& news) { onPeerNews(news); },
+                   [this](bool following) { onFollowing(following); },
+                   [this](ObjectKind kind) { watchOf(kind).refresh(); }}) {}
 
 Result<std::unique_ptr<Gateway>> Gateway::Make(asio::io_context& io,
                                                const GatewaySettings& settings,
@@ -32,6 +41,7 @@
     };
     Spawn(io.get_executor(), AcceptAll(gateway->m_acceptor, serve));
     Spawn(io.get_executor(), gateway->trimConnections());
+    Spawn(io.get_executor(), gateway->m_knowledge.run());
     return gateway;
 }
 
@@ -50,17 +60,17 @@
 
 void Gateway::followStore() {
     const GatewaySettings& settings = m_state.settings;
-    const auto follow = [&](ObjectKind kind, Millis wait, auto rest, auto onNews) {
+    const auto follow = [&](ObjectKind kind, auto rest, auto onNews) {
         StoreWatchSettings watch;
         watch.store = settings.store;
         watch.kind = kind;
-        watch.wait = wait;
         watch.timeout = settings.storeTimeout;
         watch.staggered = kind == ObjectKind::kConfiguration;
         StoreWatch::Sink sink;
         sink.onNews = onNews;
         sink.onReachable = [this, kind](const std::string& why) { onReachable(kind, why); };
         sink.rest = std::move(rest);
+        sink.wait = [this, kind] { return watchWait(kind); };
         sink.onCall = [this] { m_state.metrics.count("onyx_store_calls_total"); };
         auto made = std::make_unique<StoreWatch>(m_state.io.get_executor(), m_state.dialect, watch,
                                                  std::move(sink));
@@ -68,25 +78,47 @@
         return made;
     };
     m_configurationWatch = follow(
-        ObjectKind::kConfiguration, settings.watchWait, [] { return Millis{0}; },
+        ObjectKind::kConfiguration, [] { return Millis{0}; },
         [this](const StoreNews& news) { onConfiguration(news); });
     m_upstreamWatch = follow(
-        ObjectKind::kUpstreams, settings.upstreamWatchWait, [this] { return restAfterUpstreams(); },
+        ObjectKind::kUpstreams, [this] { return restAfterUpstreams(); },
         [this](const StoreNews& news) { onUpstreams(news); });
 }
 
-// The more boxes there are, the more calls each change would cost.
+// The more boxes watch, the more calls each change would cost. The followers of a box wait for it.
 Millis Gateway::restAfterUpstreams() const {
+    if (m_knowledge.isFollowed()) {
+        return 0;
+    }
     const auto boxes = static_cast<Millis>(m_state.boxesKnown);
     return std::min(m_state.settings.mostUpstreamRest, m_state.settings.restPerBox * boxes);
 }
 
+Millis Gateway::watchWait(ObjectKind kind) const {
+    const GatewaySettings& settings = m_state.settings;
+    const Millis own =
+        kind == ObjectKind::kConfiguration ? settings.watchWait : settings.upstreamWatchWait;
+    return m_knowledge.isFollowed() ? std::min(own, settings.followedWait) : own;
+}
+
+StoreWatch& Gateway::watchOf(ObjectKind kind) {
+    return kind == ObjectKind::kConfiguration ? *m_configurationWatch : *m_upstreamWatch;
+}
+
+void Gateway::onFollowing(bool following) {
+    for (StoreWatch* watch : {m_configurationWatch.get(), m_upstreamWatch.get()}) {
+        if (following) {
+            watch->pause();
+        } else {
+            watch->resume();
+        }
+    }
+}
+
 void Gateway::onReachable(ObjectKind kind, const std::string& why) {
     const bool upstreams = kind == ObjectKind::kUpstreams;
     const std::string_view what = upstreams ? "upstreams" : "configuration";
-    if (upstreams) {
-        m_state.upstreamsTold = why.empty();
-    }
+    (upstreams ? m_state.upstreamsTold : m_state.configurationTold) = why.empty();
     if (why.empty()) {
         logEvent(Event::kStoreUp, {{"objects", std::string(what)}});
     } else {
@@ -115,18 +147,13 @@
     if (m_state.catalog && m_state.catalog->version() >= news.revision) {
         m_state.keysKnown.confirm(news.asOf);
     }
-    if (m_state.upstreamsTold) {
-        return;  // The store tells again, and knows best.
+    // A box that knows less than this one changes nothing.
+    if (news.upstreams && news.upstreams->revision >= m_state.upstreams.revision()) {
+        applyUpstreams(*news.upstreams, "peer");
     }
-    for (const Upstream& upstream : news.upstreams) {
-        if (m_state.upstreams.mergeFromPeer(upstream, ReadClocks().mono)) {
-            logUpstream(upstream, "peer");
-        }
-        if (upstream.leaving) {
-            m_state.pool.drop(upstream.id);
-        }
+    if (news.upstreamsAsOf && m_state.upstreams.revision() >= news.upstreamsRevision) {
+        m_state.upstreamsKnown.confirm(*news.upstreamsAsOf);
     }
-    m_state.upstreamsListed = m_state.upstreamsListed || !news.upstreams.empty();
 }
 
 void Gateway::takeConfiguration(const nlohmann::json& content) {
@@ -154,48 +181,76 @@
 }
 
 void Gateway::onUpstreams(const StoreNews& news) {
-    if (news.whole) {
+    // What another box told may be ahead of an answer of the store that was on its way.
+    if (news.whole || news.revision >= m_state.upstreams.revision()) {
+        applyUpstreams(readUpstreams(news), "store");
+    }
+    m_state.upstreamsKnown.confirm(news.asOf);
+}
+
+UpstreamChanges Gateway::readUpstreams(const StoreNews& news) {
+    UpstreamChanges changes;
+    changes.whole = news.whole;
+    changes.revision = news.revision;
+    std::set<std::string> seen;
+    // The last word on an object counts: an upstream may leave and go within one answer.
+    for (auto it = news.objects.rbegin(); it != news.objects.rend(); ++it) {
+        const StoredObject& object = *it;
+        if (!seen.insert(object.name).second) {
+            continue;
+        }
+        if (object.gone) {
+            changes.removed.push_back(object.name);
+            continue;
+        }
+        auto upstream = m_state.dialect.readUpstreamObject(object.name, object.content);
+        if (upstream.has_value()) {
+            changes.changed.push_back(std::move(upstream.value()));
+            continue;
+        }
+        logEvent(Event::kObjectBad, {{"object", object.name}, {"why", upstream.error().text()}});
+        if (const Upstream* known = m_state.upstreams.find(object.name)) {
+            changes.changed.push_back(*known);
+        }
+    }
+    return changes;
+}
+
+void Gateway::applyUpstreams(const UpstreamChanges& changes, std::string_view source) {
+    std::vector<std::string> gone = changes.removed;
+    if (changes.whole) {
         std::set<std::string> listed;
-        for (const StoredObject& object : news.objects) {
-            listed.insert(object.name);
+        for (const Upstream& upstream : changes.changed) {
+            listed.insert(upstream.id);
         }
-        std::vector<std::string> gone;
         for (const auto& [id, entry] : m_state.upstreams.all()) {
             if (!listed.contains(id)) {
                 gone.push_back(id);
             }
         }
-        for (const std::string& id : gone) {
-            forgetUpstream(id);
-        }
     }
-    for (const StoredObject& object : news.objects) {
-        if (object.gone) {
-            forgetUpstream(object.name);
-        } else {
-            takeUpstream(object);
-        }
+    for (const std::string& id : gone) {
+        forgetUpstream(id, changes.revision, source);
     }
+    for (const Upstream& upstream : changes.changed) {
+        takeUpstream(upstream, changes.revision, source);
+    }
+    m_state.upstreams.setRevision(changes.revision);
     m_state.upstreamsListed = true;
 }
 
-void Gateway::takeUpstream(const StoredObject& object) {
-    Result<Upstream> upstream = m_state.dialect.readUpstreamObject(object.name, object.content);
-    if (upstream.has_error()) {
-        logEvent(Event::kObjectBad, {{"object", object.name}, {"why", upstream.error().text()}});
+void Gateway::takeUpstream(const Upstream& upstream, uint64_t revision, std::string_view source) {
+    const Upstream* known = m_state.upstreams.find(upstream.id);
+    if (known != nullptr && *known == upstream) {
         return;
     }
-    const Upstream* known = m_state.upstreams.find(object.name);
-    if (known != nullptr && *known == upstream.value()) {
-        return;
-    }
-    if (upstream.value().leaving) {
-        m_state.pool.drop(object.name);
+    if (upstream.leaving) {
+        m_state.pool.drop(upstream.id);
     }
-    logUpstream(upstream.value(), "store");
+    logUpstream(upstream, source);
     // What was there before this box looked counts as old.
     const MonoTime since = m_state.upstreamsListed ? ReadClocks().mono : MonoTime{};
-    m_state.upstreams.put(std::move(upstream.value()), since);
+    m_state.upstreams.put(upstream, since, revision);
 }
 
 void Gateway::logUpstream(const Upstream& upstream, std::string_view source) const {
@@ -206,12 +261,16 @@
                                        {"source", std::string(source)}});
 }
 
-void Gateway::forgetUpstream(const std::string& id) {
-    m_state.upstreams.remove(id);
+void Gateway::forgetUpstream(const std::string& id, uint64_t revision, std::string_view source) {
+    if (m_state.upstreams.find(id) == nullptr) {
+        return;
+    }
+    m_state.upstreams.remove(id, revision);
     m_state.pool.drop(id);
     m_state.health.forget(id);
     m_state.loads.forget(id);
-    logEvent(Event::kUpstreamChanged, {{"upstream", id}, {"state", "gone"}});
+    logEvent(Event::kUpstreamChanged,
+             {{"upstream", id}, {"state", "gone"}, {"source", std::string(source)}});
 }
 
 bool Gateway::ready() const {
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -10,9 +10,17 @@
 // Part of a bound that this box keeps for itself: clocks, timers and calls are late.
 constexpr Millis kDeafStore = 1000;  // A watch may hear nothing for this long.
 constexpr Millis kSlack = 400;
-// News of upstreams may wait for this part of the time within which a leaving one gets no more
-// work.
+// Parts of the time within which a leaving upstream gets no more work. News of upstreams may wait
+// for this part of it.
 constexpr Millis kRestPart = 4;
+// A follower's watcher may be cut from the store without knowing. Its knowledge is then as old as
+// the watch that it holds, the follower finds out when it is older than allowed, at its next
+// question, and still has to list: all of it fits into the bound.
+constexpr Millis kFollowedWaitPart = 4;
+constexpr double kFollowedAgePart = 0.6;
+constexpr Millis kFollowPeriodPart = 6;
+constexpr Millis kLeastFollowBound = 600;
+constexpr Millis kMostFollowBound = 4000;
 constexpr double kRetryCaution = 0.75;  // Part of the shared retry budget that is planned with.
 
 PlacementPolicy ReadPolicy(SettingsReader& reader, std::string_view key,
@@ -36,6 +44,19 @@
     return policy;
 }
 
+void ReadDelegation(SettingsReader& reader, Millis leavingBound, GatewaySettings& settings) {
+    WatchDelegationSettings& delegation = settings.delegation;
+    delegation.boxesPerWatcher =
+        static_cast<size_t>(reader.number("followers.boxes_per_watcher", 16, 1, 100000));
+    delegation.leastBoxes =
+        static_cast<size_t>(reader.number("followers.least_boxes", 5, 2, 100000));
+    delegation.alone = reader.number("followers.alone_ms", delegation.alone, 0, kDay);
+    const Millis bound = std::clamp<Millis>(leavingBound, kLeastFollowBound, kMostFollowBound);
+    delegation.mostAge = static_cast<Millis>(static_cast<double>(bound) * kFollowedAgePart);
+    settings.followPeriod = bound / kFollowPeriodPart;
+    settings.followedWait = bound / kFollowedWaitPart;
+}
+
 void ReadRetry(SettingsReader& reader, RetryAllowanceSettings& retry) {
     retry.window = reader.number("retry.window_ms", 10000, 100, kDay);
     retry.share = kRetryCaution * reader.real("retry.share", 0.2, 0.0, 1.0);
@@ -66,6 +87,7 @@
     const Millis leavingBound = reader.number("store.leaving_bound_ms", 2000, 0, kDay);
     settings.mostUpstreamRest = leavingBound / kRestPart;
     settings.restPerBox = reader.number("store.rest_ms_per_box", 8, 0, 1000);
+    ReadDelegation(reader, leavingBound, settings);
     settings.storeTimeout = reader.number("store.timeout_ms", 1500, 10, kDay);
     settings.connectTimeout = reader.number("upstream.connect_ms", 300, 10, kDay);
     settings.stallTimeout = reader.number("upstream.stall_ms", 1500, 10, kDay);
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -16,30 +16,13 @@
 // Digests of a box are believed for this many of the periods that it tells.
 constexpr Millis kPeriodsBelieved = 3;
 constexpr Millis kForgetAddress = 60000;
-constexpr Millis kAskPeriod = 400;
 constexpr Millis kLeastBelieved = 1200;
 constexpr int kMostCount = 65535;  // That a digest can tell.
 
-std::unique_ptr<wire::UpstreamEntryT> EntryOf(const Upstream& upstream) {
-    auto entry = std::make_unique<wire::UpstreamEntryT>();
-    entry->id = upstream.id;
-    entry->service = upstream.service.value;
-    entry->address = upstream.address;
-    entry->zone = upstream.zone.value;
-    entry->leaving = upstream.leaving;
-    entry->slots = upstream.slots;
-    return entry;
-}
-
-Upstream UpstreamOf(const wire::UpstreamEntryT& entry) {
-    return {entry.id,   ServiceId(entry.service), entry.address, ZoneId(entry.zone), entry.leaving,
-            entry.slots};
-}
-
 }  // namespace
 
-PeerMesh::PeerMesh(GatewayState& state, std::function<void(const PeerNews&)> onNews)
-    : m_state(state), m_onNews(std::move(onNews)), m_acceptor(state.io) {
+PeerMesh::PeerMesh(GatewayState& state, Sink sink)
+    : m_state(state), m_sink(std::move(sink)), m_acceptor(state.io) {
     m_self = state.settings.box + "#" + std::to_string(state.started.ms);
 }
 
@@ -87,16 +70,31 @@
         m_boxes->forget(now - kForgetAddress,
                         [this](const std::string& address) { return m_links.contains(address); });
         m_state.boxesKnown = m_boxes->size();
-        for (const std::string& address : m_boxes->toDial(m_links.empty())) {
-            if (!m_links.contains(address) && m_dialing.insert(address).second) {
-                Spawn(m_state.io.get_executor(), dial(address));
-            }
-        }
-        askWhenOld();
+        dialMissing();
         co_await SleepFor(kDialPeriod);
     }
 }
 
+void PeerMesh::dialMissing() {
+    std::vector<std::string> wanted = m_boxes->toDial(m_links.empty());
+    if (!m_wanted.empty()) {
+        wanted.push_back(m_wanted);
+    }
+    for (const std::string& address : wanted) {
+        if (!m_links.contains(address) && m_dialing.insert(address).second) {
+            Spawn(m_state.io.get_executor(), dial(address));
+        }
+    }
+}
+
+std::vector<std::string> PeerMesh::linked() const {
+    std::vector<std::string> addresses;
+    for (const auto& [address, peer] : m_links) {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
 Task<> PeerMesh::dial(std::string address) {
     const auto endpoint = ParseEndpoint(address);
     if (endpoint.has_value()) {
@@ -169,15 +167,26 @@
     if (news.empty()) {
         return;
     }
-    const std::string frame = EncodeMessage(ListOf(news));
-    sendToAll(frame);
+    sendToMany(Audience::kAll, EncodeMessage(ListOf(news)));
+}
+
+void PeerMesh::sendTo(const std::string& address, std::string frame) {
+    const auto it = m_links.find(address);
+    if (it == m_links.end()) {
+        return;
+    }
+    m_state.metrics.count("onyx_peer_bytes_sent_total", {}, frame.size());
+    const std::shared_ptr<FrameLink> link = it->second.link;
+    link->sendEncoded(std::move(frame));
 }
 
 // A link that takes no more is closed while it is sent to, so the links are not walked themselves.
-void PeerMesh::sendToAll(const std::string& frame) {
+void PeerMesh::sendToMany(Audience audience, const std::string& frame) {
     std::vector<std::shared_ptr<FrameLink>> links;
     for (const auto& [address, peer] : m_links) {
-        links.push_back(peer.link);
+        if (audience == Audience::kAll || m_boxes->isNeighbour(address)) {
+            links.push_back(peer.link);
+        }
     }
     for (const auto& link : links) {
         link->sendEncoded(frame);
@@ -204,67 +213,24 @@
     it->second.heard = now;
     m_boxes->heard({address, link.peer().zone}, now);
     if (const auto* digest = body.AsDigest()) {
-        PeerCounts::Counts counts;
-        for (const auto& load : digest->loads) {
-            counts.emplace_back(load.engine(), load.load());
-        }
-        it->second.promised = static_cast<Millis>(digest->next_ms);
-        const Millis told = kPeriodsBelieved * it->second.promised;
-        m_state.peerCounts.take(address, counts, now, std::max(kLeastBelieved, told));
+        takeDigest(it->second, address, *digest);
     } else if (const auto* list = body.AsBoxList()) {
         learn(*list);
     } else if (const auto* ask = body.AsKnowledgeAsk()) {
-        answer(link, *ask);
+        m_sink.onAsk(address, *ask);
     } else if (const auto* reply = body.AsKnowledgeReply()) {
-        takeReply(*reply);
-    }
-}
-
-void PeerMesh::answer(FrameLink& link, const wire::KnowledgeAskT& ask) {
-    wire::KnowledgeReplyT reply;
-    reply.round = ask.round;
-    reply.age_ms = m_state.keysKnown.age(ReadClocks().mono).value_or(-1);
-    reply.revision = m_state.catalog ? m_state.catalog->version() : 0;
-    if (reply.revision > ask.have) {
-        reply.content = m_state.catalogContent;
+        m_sink.onReply(address, *reply);
     }
-    if (ask.want_upstreams && m_state.upstreamsTold) {
-        for (const auto& [id, entry] : m_state.upstreams.all()) {
-            reply.upstreams.push_back(EntryOf(entry.upstream));
-        }
-    }
-    link.send(std::move(reply));
 }
 
-void PeerMesh::takeReply(const wire::KnowledgeReplyT& reply) {
-    const auto asOf = m_knowledge.answered(reply.round, reply.age_ms);
-    if (!asOf) {
-        return;
-    }
-    PeerNews news{reply.content, reply.revision, *asOf, {}};
-    for (const auto& entry : reply.upstreams) {
-        if (entry && !entry->id.empty()) {
-            news.upstreams.push_back(UpstreamOf(*entry));
-        }
-    }
-    m_onNews(news);
-}
-
-// Knowledge that is older than the store's answers make it: the store is silent to this box.
-void PeerMesh::askWhenOld() {
-    const MonoTime now = ReadClocks().mono;
-    const Millis usual = m_state.settings.watchWait + kDialPeriod / 2;
-    if (m_state.keysKnown.within(usual, now) || now - m_lastAsk < kAskPeriod) {
-        return;
-    }
-    m_lastAsk = now;
-    wire::KnowledgeAskT ask;
-    ask.round = m_knowledge.ask(now);
-    ask.have = m_state.catalog ? m_state.catalog->version() : 0;
-    ask.want_upstreams = !m_state.upstreamsTold;
-    for (const auto& [address, peer] : m_links) {
-        peer.link->send(ask);
+void PeerMesh::takeDigest(Peer& peer, const std::string& address, const wire::DigestT& digest) {
+    PeerCounts::Counts counts;
+    for (const auto& load : digest.loads) {
+        counts.emplace_back(load.engine(), load.load());
     }
+    peer.promised = static_cast<Millis>(digest.next_ms);
+    const Millis believed = std::max(kLeastBelieved, kPeriodsBelieved * peer.promised);
+    m_state.peerCounts.take(address, counts, ReadClocks().mono, believed);
 }
 
 // Digests go out on changes, as often as the budget of control bytes allows.
@@ -285,17 +251,20 @@
 void PeerMesh::sendDigest(const PeerCounts::Counts& counts) {
     wire::DigestT digest;
     digest.sequence = ++m_sequence;
-    digest.next_ms = static_cast<uint32_t>(m_digestPeriod);
     for (const auto& [upstream, count] : counts) {
         const auto load = static_cast<uint16_t>(std::min(count, kMostCount));
         digest.loads.emplace_back(upstream, load, false);
     }
-    wire::BodyUnion body;
-    body.Set(std::move(digest));
-    const std::string frame = EncodeFrame(body);
-    sendToAll(frame);
-    m_digestPeriod =
-        DigestPeriod(kDigestPeriod, m_links.size(), frame.size(), m_state.settings.digestBudget);
+    // The promise is part of the frame whose size it depends on, so the size is taken with any.
+    digest.next_ms = static_cast<uint32_t>(kDigestPeriod);
+    const size_t size = EncodeMessage(digest).size();
+    const std::vector<std::string> links = linked();
+    const auto neighbours = static_cast<size_t>(std::count_if(
+        links.begin(), links.end(),
+        [this](const std::string& address) { return m_boxes->isNeighbour(address); }));
+    m_digestPeriod = DigestPeriod(kDigestPeriod, neighbours, size, m_state.settings.digestBudget);
+    digest.next_ms = static_cast<uint32_t>(m_digestPeriod);
+    sendToMany(Audience::kNeighbours, EncodeMessage(std::move(digest)));
     m_state.metrics.set("onyx_peer_links", {}, static_cast<double>(m_links.size()));
 }
 
--- a/src/membership/BoxDirectory.cpp
+++ b/src/membership/BoxDirectory.cpp
@@ -101,6 +101,16 @@
     return dialed;
 }
 
+bool BoxDirectory::isNeighbour(const std::string& address) const {
+    const std::pair<uint64_t, std::string> place(HashText(address), address);
+    const auto it = std::lower_bound(m_ring.begin(), m_ring.end(), place);
+    if (it == m_ring.end() || *it != place) {
+        return false;
+    }
+    const auto index = static_cast<size_t>(it - m_ring.begin());
+    return links(m_selfIndex, index) || links(index, m_selfIndex);
+}
+
 std::vector<std::string> BoxDirectory::zoneOrder() const {
     std::vector<std::string> order{m_self.address};
     for (const auto& [address, entry] : m_boxes) {
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -87,6 +87,8 @@
             return "store-up";
         case Event::kCatalogInForce:
             return "catalog-in-force";
+        case Event::kFollowing:
+            return "following";
         case Event::kReadiness:
             return "readiness";
         case Event::kReloaded:
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -4,40 +4,60 @@
 
 namespace onyx {
 
-void UpstreamTable::put(Upstream upstream, MonoTime since) {
+void UpstreamTable::put(Upstream upstream, MonoTime since, uint64_t revision) {
     const auto it = m_entries.find(upstream.id);
     if (it != m_entries.end()) {
         it->second.upstream = std::move(upstream);
+        it->second.changedAt = revision;
         return;
     }
     std::string id = upstream.id;
-    m_entries.emplace(std::move(id), Entry{std::move(upstream), since});
+    m_entries.emplace(std::move(id), Entry{std::move(upstream), since, revision});
 }
 
-bool UpstreamTable::mergeFromPeer(Upstream upstream, MonoTime since) {
-    const auto it = m_entries.find(upstream.id);
-    if (it == m_entries.end()) {
-        if (std::find(m_removed.begin(), m_removed.end(), upstream.id) != m_removed.end()) {
-            return false;
-        }
-        put(std::move(upstream), since);
-        return true;
-    }
-    const bool leaves = upstream.leaving && !it->second.upstream.leaving;
-    it->second.upstream.leaving = it->second.upstream.leaving || upstream.leaving;
-    return leaves;
-}
-
-void UpstreamTable::remove(const std::string& id) {
+void UpstreamTable::remove(const std::string& id, uint64_t revision) {
     if (m_entries.erase(id) == 0) {
         return;
     }
-    m_removed.push_back(id);
+    m_removed.push_back({id, revision});
     if (m_removed.size() > kMostRemoved) {
+        m_oldest = std::max(m_oldest, m_removed.front().at);
         m_removed.pop_front();
     }
 }
 
+void UpstreamTable::setRevision(uint64_t revision) {
+    const bool first = m_revision == 0;
+    const bool restored = revision < m_revision;
+    if (first || restored) {
+        m_oldest = revision;
+    }
+    if (restored) {
+        m_removed.clear();
+        for (auto& [id, entry] : m_entries) {
+            entry.changedAt = revision;
+        }
+    }
+    m_revision = revision;
+}
+
+UpstreamChanges UpstreamTable::changesSince(uint64_t revision) const {
+    UpstreamChanges changes;
+    changes.revision = m_revision;
+    changes.whole = revision < m_oldest;
+    for (const auto& [id, entry] : m_entries) {
+        if (changes.whole || entry.changedAt > revision) {
+            changes.changed.push_back(entry.upstream);
+        }
+    }
+    for (const Removed& removed : m_removed) {
+        if (!changes.whole && removed.at > revision && !m_entries.contains(removed.id)) {
+            changes.removed.push_back(removed.id);
+        }
+    }
+    return changes;
+}
+
 const Upstream* UpstreamTable::find(const std::string& id) const {
     const auto it = m_entries.find(id);
     return it == m_entries.end() ? nullptr : &it->second.upstream;
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -33,10 +33,33 @@
     : m_executor(std::move(executor)),
       m_dialect(dialect),
       m_settings(settings),
-      m_sink(std::move(sink)) {}
+      m_sink(std::move(sink)),
+      m_wake(m_executor, asio::steady_timer::time_point::max()) {}
+
+void StoreWatch::resume() {
+    if (m_paused) {
+        m_paused = false;
+        refresh();
+    }
+}
+
+void StoreWatch::refresh() {
+    m_listed = false;
+    m_wake.cancel();
+}
+
+// The connection is closed, since the store may do so too, and without a word.
+Task<> StoreWatch::waitWhilePaused() {
+    while (m_paused && m_listed) {
+        disconnect();
+        boost::system::error_code ec;
+        co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
 
 Task<> StoreWatch::run() {
     while (true) {
+        co_await waitWhilePaused();
         Result<bool> done = true;
         if (m_listed) {
             done = co_await watch();
@@ -106,15 +129,17 @@
     }
     m_listed = true;
     m_revision = revision;
+    news.revision = revision;
     m_sink.onNews(news);
     co_return true;
 }
 
 Millis StoreWatch::nextWait() {
+    const Millis wait = m_sink.wait();
     if (m_failed) {
-        return std::min(kFirstWait, m_settings.wait);
+        return std::min(kFirstWait, wait);
     }
-    return m_settings.staggered ? StaggeredWait(m_settings.wait, m_random()) : m_settings.wait;
+    return m_settings.staggered ? StaggeredWait(wait, m_random()) : wait;
 }
 
 Task<Result<bool>> StoreWatch::watch() {
@@ -146,6 +171,7 @@
     m_revision = changes.value().revision;
     news.objects = std::move(changes.value().objects);
     news.asOf = WatchCovers(sent, ReadClocks().mono, wait, news.objects.empty());
+    news.revision = m_revision;
     m_sink.onNews(news);
     const Millis rest = news.objects.empty() ? 0 : m_sink.rest();
     if (rest > 0) {
--- a/tests/BoxDirectoryTest.cpp
+++ b/tests/BoxDirectoryTest.cpp
@@ -74,6 +74,22 @@
     CHECK(dialed.size() == kBoxes);
 }
 
+TEST_CASE("Neighbours are the boxes that one dials or is dialed by") {
+    const auto site = Site(85);
+    const BoxDirectory& box = site.front();
+    size_t neighbours = 0;
+    for (size_t i = 0; i < site.size(); ++i) {
+        neighbours += box.isNeighbour(BoxOf(i).address) ? 1 : 0;
+    }
+    CHECK(neighbours == 2 * kMostDialed);
+    for (const std::string& dialed : box.toDial(false)) {
+        CHECK(box.isNeighbour(dialed));
+    }
+    CHECK_FALSE(box.isNeighbour(BoxOf(0).address));
+    CHECK_FALSE(box.isNeighbour("unknown"));
+    CHECK(Site(7).front().isNeighbour(BoxOf(3).address));
+}
+
 TEST_CASE("A box without links dials all that it knows") {
     const auto site = Site(40);
     CHECK(site.front().toDial(true).size() == 39);
--- a/tests/FreshnessTest.cpp
+++ b/tests/FreshnessTest.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace onyx;
@@ -52,6 +54,43 @@
     CHECK_FALSE(peers.answered(first, 0).has_value());
 }
 
+// Found in the logs of a site of 85 boxes: a box that had lost the store got the whole
+// configuration from all 32 boxes that it asked, over a line that carries it twice a second.
+TEST_CASE("What is newer is fetched from one box at a time") {
+    PeerKnowledge peers;
+    const auto first = peers.startFetch({1000});
+    REQUIRE(first.has_value());
+    CHECK(peers.answered(*first, 100) == MonoTime{900});
+    CHECK_FALSE(peers.startFetch({1001}).has_value());
+    peers.endFetch(peers.ask({1001}));
+    CHECK_FALSE(peers.startFetch({1002}).has_value());
+    peers.endFetch(*first);
+    const auto second = peers.startFetch({1003});
+    REQUIRE(second.has_value());
+    // A box that does not answer is given up on.
+    const auto third = peers.startFetch({1003 + PeerKnowledge::kFetchPatience});
+    REQUIRE(third.has_value());
+    peers.endFetch(*second);
+    CHECK_FALSE(peers.startFetch({1004 + PeerKnowledge::kFetchPatience}).has_value());
+}
+
+TEST_CASE("Of many boxes some are asked in each round, and all in turn") {
+    PeerKnowledge knowledge;
+    std::vector<std::string> peers;
+    for (int i = 0; i < 30; ++i) {
+        peers.push_back("box-" + std::to_string(i));
+    }
+    std::set<std::string> asked;
+    for (int round = 0; round < 4; ++round) {
+        const auto some = knowledge.nextAsked(peers);
+        CHECK(some.size() == PeerKnowledge::kMostAsked);
+        asked.insert(some.begin(), some.end());
+    }
+    CHECK(asked.size() == peers.size());
+    peers.resize(3);
+    CHECK(knowledge.nextAsked(peers) == peers);
+}
+
 TEST_CASE("Boxes whose watches ended together do not stay equally old") {
     constexpr Millis kMost = 2000;
     constexpr int kBoxes = 6;
--- /dev/null
+++ b/tests/WatchDelegationTest.cpp
@@ -0,0 +1,115 @@
+#include "include/freshness/WatchDelegation.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace onyx;
+
+namespace {
+
+constexpr MonoTime kStart{1000};
+const auto kAllLinked = [](const std::string&) { return true; };
+
+std::vector<std::string> Zone(size_t boxes) {
+    std::vector<std::string> zone;
+    for (size_t i = 0; i < boxes; ++i) {
+        zone.push_back("box-" + std::to_string(100 + i));
+    }
+    return zone;
+}
+
+// A box that follows the first one of its zone.
+struct Follower {
+    std::vector<std::string> zone = Zone(8);
+    WatchDelegation delegation{WatchDelegationSettings{}};
+
+    Follower() {
+        ask(kStart);
+        delegation.replied(zone.front(), {true, 100}, kStart);
+    }
+    std::string ask(MonoTime now) { return delegation.choose(zone, zone.back(), kAllLinked, now); }
+};
+
+}  // namespace
+
+TEST_CASE("In a small zone every box watches the store") {
+    const auto zone = Zone(4);
+    for (const std::string& box : zone) {
+        WatchDelegation delegation{WatchDelegationSettings{}};
+        CHECK(delegation.choose(zone, box, kAllLinked, kStart).empty());
+    }
+}
+
+TEST_CASE("In a large zone a few boxes watch, and the others spread over them") {
+    const auto zone = Zone(68);
+    std::map<std::string, size_t> followers;
+    size_t watchers = 0;
+    for (const std::string& box : zone) {
+        WatchDelegation delegation{WatchDelegationSettings{}};
+        const std::string watcher = delegation.choose(zone, box, kAllLinked, kStart);
+        watchers += watcher.empty() ? 1 : 0;
+        if (!watcher.empty()) {
+            ++followers[watcher];
+        }
+    }
+    CHECK(watchers == 5);
+    CHECK(followers.size() == 5);
+    for (const auto& [watcher, count] : followers) {
+        CHECK(count <= 24);
+    }
+}
+
+TEST_CASE("A box watches by itself until its watcher has told fresh knowledge") {
+    Follower box;
+    CHECK(box.delegation.following());
+    WatchDelegation fresh{WatchDelegationSettings{}};
+    CHECK(fresh.choose(box.zone, box.zone.back(), kAllLinked, kStart) == box.zone.front());
+    CHECK_FALSE(fresh.following());
+}
+
+TEST_CASE("A watcher that is silent, old, or does not watch is left at once, and for a while") {
+    const auto trouble = GENERATE(0, 1, 2, 3);
+    Follower box;
+    const MonoTime now = kStart + 2000;
+    switch (trouble) {
+        case 0:
+            box.delegation.noteAge(1300, now);
+            break;
+        case 1:
+            box.delegation.replied(box.zone.front(), {true, 1300}, now);
+            break;
+        case 2:
+            box.delegation.replied(box.zone.front(), {false, 100}, now);
+            break;
+        default:
+            box.delegation.replied(box.zone.front(), {true, std::nullopt}, now);
+            break;
+    }
+    CHECK_FALSE(box.delegation.following());
+    CHECK(box.ask(now).empty());
+    CHECK(box.ask(now + 9999).empty());
+    CHECK(box.ask(now + 10000) == box.zone.front());
+    CHECK_FALSE(box.delegation.following());
+}
+
+TEST_CASE("A follower whose link to its watcher is gone watches, and may follow another") {
+    Follower box;
+    const auto none = [](const std::string&) { return false; };
+    CHECK(box.delegation.choose(box.zone, box.zone.back(), none, kStart).empty());
+    CHECK_FALSE(box.delegation.following());
+    box.zone.insert(box.zone.begin(), "box-1");
+    CHECK(box.ask(kStart) == "box-1");
+    CHECK_FALSE(box.delegation.following());
+    box.delegation.replied("box-100", {true, 10}, kStart);
+    CHECK_FALSE(box.delegation.following());
+}
+
+TEST_CASE("A box that becomes a watcher follows nobody") {
+    Follower box;
+    std::vector<std::string> zone{box.zone.back(), "box-1", "box-2", "box-3", "box-4"};
+    CHECK(box.delegation.choose(zone, box.zone.back(), kAllLinked, kStart).empty());
+    CHECK_FALSE(box.delegation.following());
+}
