--- a/include/membership/BoxDirectory.h
+++ b/include/membership/BoxDirectory.h
@@ -56,6 +56,10 @@
     // have in flight. Preconditions: none.
     bool isNeighbour(const std::string& address) const;
 
+    // The part of the other boxes that are neighbours; 1 if there is no other box.
+    // Preconditions: none.
+    double neighbourShare() const;
+
     // Addresses of the boxes of this box's zone, this one included, in an order that all boxes
     // agree on as far as they know the same boxes. Preconditions: none.
     std::vector<std::string> zoneOrder() const;
--- a/include/placement/PeerCounts.h
+++ b/include/placement/PeerCounts.h
@@ -23,24 +23,36 @@
 
     // Takes in a box's digest, in place of its last; it counts for `believed`.
     // Preconditions: believed > 0.
-    void take(const std::string& box, const Counts& counts, MonoTime now, Millis believed);
+    void take(const std::string& box, Counts counts, MonoTime now, Millis believed);
 
     // Forgets a box whose link is gone. Preconditions: none.
-    void forget(const std::string& box) { m_boxes.erase(box); }
+    void forget(const std::string& box);
 
-    // Requests that the other boxes have in flight at `upstream`. Preconditions: none.
-    int at(const std::string& upstream, MonoTime now) const;
+    // Forgets the digests that are no longer believed. Preconditions: times do not fall.
+    void expire(MonoTime now);
 
-    // Boxes whose digest is fresh. Preconditions: none.
-    size_t freshBoxes(MonoTime now) const;
+    // The part of the other boxes that tell this one; the rest is taken to be like them. A small
+    // site tells all. Preconditions: 0 < share <= 1.
+    void setShare(double share) { m_share = share; }
+
+    // Requests that the other boxes have in flight at `upstream`, those that tell nothing here
+    // included. Preconditions: none.
+    int at(const std::string& upstream) const;
+
+    // Boxes whose digest counts. Preconditions: none.
+    size_t boxes() const { return m_boxes.size(); }
 
 private:
     struct Digest {
         MonoTime until;
-        std::unordered_map<uint32_t, int> counts;
+        Counts counts;
     };
 
+    void subtract(const Counts& counts);
+
     std::map<std::string, Digest> m_boxes;
+    std::unordered_map<uint32_t, int> m_sums;  // Over all boxes that tell.
+    double m_share = 1;
 };
 
 }  // namespace onyx
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -70,6 +70,7 @@
         m_boxes->forget(now - kForgetAddress,
                         [this](const std::string& address) { return m_links.contains(address); });
         m_state.boxesKnown = m_boxes->size();
+        m_state.peerCounts.setShare(m_boxes->neighbourShare());
         dialMissing();
         co_await SleepFor(kDialPeriod);
     }
@@ -230,7 +231,7 @@
     }
     peer.promised = static_cast<Millis>(digest.next_ms);
     const Millis believed = std::max(kLeastBelieved, kPeriodsBelieved * peer.promised);
-    m_state.peerCounts.take(address, counts, ReadClocks().mono, believed);
+    m_state.peerCounts.take(address, std::move(counts), ReadClocks().mono, believed);
 }
 
 // Digests go out on changes, as often as the budget of control bytes allows.
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -91,7 +91,9 @@
 Task<AfterAnswer> RelayedRequest::serve() {
     while (true) {
         const UpstreamQuestion question{m_facts.sharedParts, m_tried, m_point};
-        const auto choice = ChooseNextUpstream(m_state, m_decision, question, ReadClocks().mono);
+        const MonoTime now = ReadClocks().mono;
+        m_state.peerCounts.expire(now);
+        const auto choice = ChooseNextUpstream(m_state, m_decision, question, now);
         if (!choice) {
             const NextStep step = m_sends.giveUp(m_relay->headSent());
             co_return co_await conclude(step);
--- a/src/gateway/UpstreamChoice.cpp
+++ b/src/gateway/UpstreamChoice.cpp
@@ -25,7 +25,7 @@
     candidate.leftAlone = state.health.leftAlone(upstream.id, now);
     candidate.ownInFlight = state.loads.own(upstream.id);
     candidate.totalLoad = std::max(state.loads.total(upstream.id, now),
-                                   candidate.ownInFlight + state.peerCounts.at(upstream.id, now));
+                                   candidate.ownInFlight + state.peerCounts.at(upstream.id));
     candidate.slots = upstream.slots;
     return candidate;
 }
--- a/src/membership/BoxDirectory.cpp
+++ b/src/membership/BoxDirectory.cpp
@@ -111,6 +111,12 @@
     return links(m_selfIndex, index) || links(index, m_selfIndex);
 }
 
+double BoxDirectory::neighbourShare() const {
+    const size_t others = m_boxes.size();
+    const size_t neighbours = std::min(others, 2 * m_mostDialed);
+    return others == 0 ? 1 : static_cast<double>(neighbours) / static_cast<double>(others);
+}
+
 std::vector<std::string> BoxDirectory::zoneOrder() const {
     std::vector<std::string> order{m_self.address};
     for (const auto& [address, entry] : m_boxes) {
--- a/src/placement/PeerCounts.cpp
+++ b/src/placement/PeerCounts.cpp
@@ -2,39 +2,53 @@
 
 #include "include/base/Hash.h"
 
+#include <cmath>
+
 namespace onyx {
 
 uint32_t UpstreamNumber(const std::string& upstream) {
     return static_cast<uint32_t>(HashText(upstream));
 }
 
-void PeerCounts::take(const std::string& box, const Counts& counts, MonoTime now, Millis believed) {
-    Digest& digest = m_boxes[box];
-    digest.until = now + believed;
-    digest.counts.clear();
+void PeerCounts::take(const std::string& box, Counts counts, MonoTime now, Millis believed) {
+    forget(box);
     for (const auto& [upstream, count] : counts) {
-        digest.counts[upstream] = count;
+        m_sums[upstream] += count;
     }
+    m_boxes[box] = {now + believed, std::move(counts)};
 }
 
-int PeerCounts::at(const std::string& upstream, MonoTime now) const {
-    const uint32_t number = UpstreamNumber(upstream);
-    int sum = 0;
-    for (const auto& [box, digest] : m_boxes) {
-        const auto it = digest.counts.find(number);
-        if (now <= digest.until && it != digest.counts.end()) {
-            sum += it->second;
-        }
+void PeerCounts::forget(const std::string& box) {
+    const auto it = m_boxes.find(box);
+    if (it != m_boxes.end()) {
+        subtract(it->second.counts);
+        m_boxes.erase(it);
     }
-    return sum;
 }
 
-size_t PeerCounts::freshBoxes(MonoTime now) const {
-    size_t fresh = 0;
-    for (const auto& [box, digest] : m_boxes) {
-        fresh += now <= digest.until ? 1 : 0;
+void PeerCounts::expire(MonoTime now) {
+    std::erase_if(m_boxes, [&](const auto& box) {
+        const bool old = box.second.until < now;
+        if (old) {
+            subtract(box.second.counts);
+        }
+        return old;
+    });
+}
+
+void PeerCounts::subtract(const Counts& counts) {
+    for (const auto& [upstream, count] : counts) {
+        // A count of 0 may have taken its sum out already.
+        const auto it = m_sums.find(upstream);
+        if (it != m_sums.end() && (it->second -= count) == 0) {
+            m_sums.erase(it);
+        }
     }
-    return fresh;
+}
+
+int PeerCounts::at(const std::string& upstream) const {
+    const auto it = m_sums.find(UpstreamNumber(upstream));
+    return it == m_sums.end() ? 0 : static_cast<int>(std::lround(it->second / m_share));
 }
 
 }  // namespace onyx
--- a/tests/BoxDirectoryTest.cpp
+++ b/tests/BoxDirectoryTest.cpp
@@ -82,6 +82,9 @@
         neighbours += box.isNeighbour(BoxOf(i).address) ? 1 : 0;
     }
     CHECK(neighbours == 2 * kMostDialed);
+    CHECK(box.neighbourShare() == Approx(32.0 / 84));
+    CHECK(Site(7).front().neighbourShare() == 1);
+    CHECK(Site(1).front().neighbourShare() == 1);
     for (const std::string& dialed : box.toDial(false)) {
         CHECK(box.isNeighbour(dialed));
     }
