Let each request draw its bound where loads are known from a sample

Sites whose boxes all tell each other do as before. Test: PromptAffinityTest "Where loads are a sample".

--- a/include/placement/PeerCounts.h
+++ b/include/placement/PeerCounts.h
@@ -35,6 +35,9 @@
     // site tells all. Preconditions: 0 < share <= 1.
     void setShare(double share) { m_share = share; }
 
+    // Whether some of the other boxes tell nothing here. Preconditions: none.
+    bool isSample() const { return m_share < 1; }
+
     // Requests that the other boxes have in flight at `upstream`, those that tell nothing here
     // included. Preconditions: none.
     int at(const std::string& upstream) const;
--- a/include/placement/PromptAffinity.h
+++ b/include/placement/PromptAffinity.h
@@ -29,6 +29,10 @@
     // An upstream is given no more than multiple x the mean load + margin.
     double multiple = 1.6;
     double margin = 2.0;
+    // The loads come from a sample of the boxes and are old by the time that many requests take. A
+    // sharp bound would then be passed by all boxes at once, so each request draws its own, between
+    // a little over the mean and the full one.
+    bool drawsBound = false;
 };
 // The own zone's upstreams first, the least loaded of them.
 struct ZoneFirstPolicy {};
--- a/src/gateway/UpstreamChoice.cpp
+++ b/src/gateway/UpstreamChoice.cpp
@@ -30,6 +30,14 @@
     return candidate;
 }
 
+PlacementPolicy PolicyFor(const GatewayState& state, bool model) {
+    PlacementPolicy policy = model ? state.settings.modelPlacement : state.settings.plainPlacement;
+    if (auto* affinity = std::get_if<AffinityPolicy>(&policy)) {
+        affinity->drawsBound = state.peerCounts.isSample();
+    }
+    return policy;
+}
+
 // Address of an upstream from which `chosen` can fetch the prompt's shared parts, empty if none.
 std::string HolderFor(const GatewayState& state, const ServiceId& service, const Upstream& chosen,
                       std::span<const std::string> sharedParts, MonoTime now) {
@@ -61,9 +69,7 @@
     const bool model = decision.spec != nullptr && decision.spec->model;
     const uint64_t key =
         question.sharedParts.empty() ? question.point : HashText(question.sharedParts.back());
-    const int chosen =
-        ChooseUpstream(model ? state.settings.modelPlacement : state.settings.plainPlacement,
-                       candidates, key, question.point);
+    const int chosen = ChooseUpstream(PolicyFor(state, model), candidates, key, question.point);
     if (chosen < 0) {
         return std::nullopt;
     }
--- a/src/placement/PromptAffinity.cpp
+++ b/src/placement/PromptAffinity.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr double kLeastMargin = 1.0;  // Over the mean, of the lowest bound that is drawn.
+constexpr int kParts = 1024;          // Steps between the lowest bound and the highest.
+
 int LoadOf(const PlacementCandidate& candidate) {
     return std::max(candidate.ownInFlight, candidate.totalLoad);
 }
@@ -45,7 +48,7 @@
             sum += LoadOf(m_candidates[i]);
         }
         const double mean = order.empty() ? 0 : sum / static_cast<double>(order.size());
-        const int bound = static_cast<int>(std::ceil(policy.multiple * mean + policy.margin));
+        const int bound = boundFor(policy, mean);
         for (const int i : order) {
             if (LoadOf(m_candidates[i]) < std::min(bound, slots(i))) {
                 return i;
@@ -74,6 +77,16 @@
     }
 
 private:
+    int boundFor(const AffinityPolicy& policy, double mean) const {
+        const double most = policy.multiple * mean + policy.margin;
+        if (!policy.drawsBound) {
+            return static_cast<int>(std::ceil(most));
+        }
+        const double least = std::min(most, mean + kLeastMargin);
+        const double part = static_cast<double>(m_point % kParts) / kParts;
+        return static_cast<int>(std::ceil(least + part * (most - least)));
+    }
+
     uint64_t score(int i) const { return RendezvousScore(m_key, m_candidates[i].id); }
     uint64_t anyOrder(int i) const { return RendezvousScore(m_point, m_candidates[i].id); }
     int slots(int i) const { return std::max(1, m_candidates[i].slots); }
--- a/tests/PromptAffinityTest.cpp
+++ b/tests/PromptAffinityTest.cpp
@@ -57,6 +57,35 @@
     }
 }
 
+// Found on a day of a site of 85 boxes (mostrador-norte-grown fresh-cf51, LIMIT): with digests of
+// about 1 s, all boxes filled an upstream to far beyond the bound before one of them saw it there.
+TEST_CASE(
+    "Where loads are a sample, a request may overflow from the mean on, and all do at the bound") {
+    auto candidates = Candidates();
+    const AffinityPolicy sharp;
+    AffinityPolicy drawn;
+    drawn.drawsBound = true;
+    constexpr uint64_t kKey = 7;
+    const int preferred = ChooseUpstream(sharp, candidates, kKey, 0);
+    const auto kept = [&](const AffinityPolicy& policy, int load) {
+        for (auto& candidate : candidates) {
+            candidate.totalLoad = 10;
+        }
+        candidates[preferred].totalLoad = load;
+        int count = 0;
+        for (uint64_t point = 0; point < 1024; ++point) {
+            count += ChooseUpstream(policy, candidates, kKey, point) == preferred ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(kept(drawn, 10) == 1024);
+    CHECK(kept(sharp, 15) == 1024);
+    CHECK(kept(drawn, 15) > 256);
+    CHECK(kept(drawn, 15) < 768);
+    CHECK(kept(sharp, 30) == 0);
+    CHECK(kept(drawn, 30) == 0);
+}
+
 TEST_CASE("Upstreams left alone are passed over unless nothing else is there") {
     auto candidates = Candidates();
     for (auto& candidate : candidates) {
