--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -12,17 +12,15 @@
 
 namespace onyx {
 
-// How reading the head of an answer ended.
-enum class HeadEnd : uint8_t {
-    kHead,       // The head of this request's answer.
+// How reading a part of an answer ended.
+enum class AnswerRead : uint8_t {
+    kPart,       // What was asked for: the head, or a piece of the body.
+    kComplete,   // The body has ended.
     kCancelled,  // cancel() was called.
     kTimeout,
     kBroken,  // The connection ended, or what came is no answer.
 };
 
-// How reading a piece of a body ended.
-enum class PieceEnd : uint8_t { kPiece, kComplete, kCancelled, kTimeout, kBroken };
-
 // Not thread safe: one io_context, one task; cancel() may come from another task of it. Held by
 // shared_ptr, since a write may outlive the task that waits for the answer.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
@@ -37,10 +35,10 @@
     // Sends `message` and reads the head of the answer that carries this request's id. Other
     // answers, which nobody waits for any more, are passed over.
     // Preconditions: connect() succeeded; called once.
-    Task<HeadEnd> send(std::string message, MonoTime until);
+    Task<AnswerRead> send(std::string message, MonoTime until);
 
-    // Reads more of the body into `piece`. Preconditions: send() ended with kHead.
-    Task<PieceEnd> read(std::string& piece, MonoTime until);
+    // Reads more of the body into `piece`. Preconditions: send() ended with kPart.
+    Task<AnswerRead> read(std::string& piece, MonoTime until);
 
     // Gives up: the connection is closed, so that the upstream sees it. Preconditions: none.
     void cancel();
@@ -49,7 +47,7 @@
     // Preconditions: none.
     void finish();
 
-    // Head of the answer. Preconditions: send() ended with kHead.
+    // Head of the answer. Preconditions: send() ended with kPart.
     const ResponseHead& head() const { return m_parser->get().base(); }
     const UpstreamFacts& facts() const { return m_facts; }
     const Upstream& upstream() const { return m_upstream; }
@@ -63,9 +61,9 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     void write(std::string message);
-    Task<HeadEnd> readHead(MonoTime until);
-    Task<PieceEnd> skipBody(MonoTime until);
-    void noteReadError(const boost::system::error_code& ec);
+    Task<AnswerRead> readHead(MonoTime until);
+    Task<AnswerRead> skipBody(MonoTime until);
+    AnswerRead endOf(const boost::system::error_code& ec);
     bool isOurs() const;
 
     GatewayState& m_state;
--- a/include/routing/Catalog.h
+++ b/include/routing/Catalog.h
@@ -32,7 +32,6 @@
     bool stream = false;      // Its answer is a stream of events.
     bool resumable = false;   // A broken stream may go on at another upstream.
     bool open = false;        // It needs no team's key.
-    bool affinity = false;    // Its prompts are worth keeping at one upstream.
     Millis timeout = 30000;   // Longest that a request is held.
     Millis objective = 1000;  // The answer (streams: the first event) is wanted within this.
     int priority = 5;         // 0 is the most urgent.
--- a/src/gateway/AnswerRelay.cpp
+++ b/src/gateway/AnswerRelay.cpp
@@ -66,13 +66,13 @@
     std::string body;
     std::string piece;
     while (true) {
-        const PieceEnd end = co_await exchange.read(piece, until);
-        if (end == PieceEnd::kComplete) {
+        const AnswerRead end = co_await exchange.read(piece, until);
+        if (end == AnswerRead::kComplete) {
             break;
         }
-        if (end != PieceEnd::kPiece) {
+        if (end != AnswerRead::kPart) {
             const bool ranNot = judged == SendEnd::kDeclined || judged == SendEnd::kMisdirected;
-            co_return RelayEnd{ranNot ? judged : SendEnd::kUnclear, end == PieceEnd::kTimeout};
+            co_return RelayEnd{ranNot ? judged : SendEnd::kUnclear, end == AnswerRead::kTimeout};
         }
         body += piece;
     }
@@ -92,14 +92,14 @@
     std::string piece;
     while (true) {
         const MonoTime until = m_headSent ? patience.next() : patience.first();
-        const PieceEnd end = co_await exchange.read(piece, until);
-        if (end == PieceEnd::kComplete && stream.rest().empty()) {
+        const AnswerRead end = co_await exchange.read(piece, until);
+        if (end == AnswerRead::kComplete && stream.rest().empty()) {
             const bool begun = m_headSent || co_await sendHead(exchange.head());
             co_return RelayEnd{begun ? SendEnd::kAnswered : SendEnd::kStreamBroken, false};
         }
-        if (end != PieceEnd::kPiece) {
+        if (end != AnswerRead::kPart) {
             co_return RelayEnd{m_headSent ? SendEnd::kStreamBroken : SendEnd::kUnclear,
-                               end == PieceEnd::kTimeout};
+                               end == AnswerRead::kTimeout};
         }
         const std::string out = events ? newEvents(stream, piece) : std::move(piece);
         if (!out.empty() && !co_await pass(exchange.head(), out)) {
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -199,9 +199,9 @@
     m_state.metrics.count("onyx_sends_total", {{"service", m_decision.service.value}});
     std::string text = orderText(choice);
     const MonoTime until = firstAnswerUntil();
-    const HeadEnd head = co_await exchange.send(std::move(text), until);
-    if (head != HeadEnd::kHead) {
-        co_return RelayEnd{SendEnd::kUnclear, head == HeadEnd::kTimeout};
+    const AnswerRead head = co_await exchange.send(std::move(text), until);
+    if (head != AnswerRead::kPart) {
+        co_return RelayEnd{SendEnd::kUnclear, head == AnswerRead::kTimeout};
     }
     if (exchange.facts().load) {
         m_state.loads.witness(choice.upstream.id, *exchange.facts().load, ReadClocks().mono);
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -79,23 +79,23 @@
         [self, connection, bytes](const beast::error_code& ec, size_t) { self->m_written = !ec; });
 }
 
-Task<HeadEnd> UpstreamExchange::send(std::string message, MonoTime until) {
+Task<AnswerRead> UpstreamExchange::send(std::string message, MonoTime until) {
     if (m_cancelled) {
-        co_return HeadEnd::kCancelled;
+        co_return AnswerRead::kCancelled;
     }
     m_connection->stream.expires_after(Left(until));
     write(std::move(message));
     while (true) {
-        const HeadEnd end = co_await readHead(until);
-        if (end != HeadEnd::kHead || isOurs()) {
+        const AnswerRead end = co_await readHead(until);
+        if (end != AnswerRead::kPart || isOurs()) {
             co_return end;
         }
         m_spoiled = true;
         logEvent(Event::kAnswerCrossed,
                  {{"request", m_requestId}, {"upstream", m_upstream.id}, {"answers", m_facts.id}});
-        const PieceEnd skipped = co_await skipBody(until);
-        if (skipped != PieceEnd::kComplete) {
-            co_return skipped == PieceEnd::kTimeout ? HeadEnd::kTimeout : HeadEnd::kBroken;
+        const AnswerRead skipped = co_await skipBody(until);
+        if (skipped != AnswerRead::kComplete) {
+            co_return skipped == AnswerRead::kTimeout ? AnswerRead::kTimeout : AnswerRead::kBroken;
         }
     }
 }
@@ -108,7 +108,7 @@
     return m_facts.id == m_requestId || (m_facts.id.empty() && m_facts.declined && !m_reused);
 }
 
-Task<HeadEnd> UpstreamExchange::readHead(MonoTime until) {
+Task<AnswerRead> UpstreamExchange::readHead(MonoTime until) {
     m_parser = std::make_unique<Parser>();
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     auto& connection = *m_connection;
@@ -116,34 +116,35 @@
     beast::error_code ec;
     co_await http::async_read_header(connection.stream, connection.buffer, *m_parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
-    if (m_cancelled) {
-        co_return HeadEnd::kCancelled;
-    }
-    if (ec) {
-        noteReadError(ec);
-        co_return ec == beast::error::timeout ? HeadEnd::kTimeout : HeadEnd::kBroken;
+    if (ec || m_cancelled) {
+        co_return endOf(ec);
     }
     m_facts = m_state.dialect.readUpstream(head());
-    co_return HeadEnd::kHead;
+    co_return AnswerRead::kPart;
 }
 
-void UpstreamExchange::noteReadError(const beast::error_code& ec) {
+// What a read that failed says of the answer, and of the way to the upstream.
+AnswerRead UpstreamExchange::endOf(const beast::error_code& ec) {
+    if (m_cancelled) {
+        return AnswerRead::kCancelled;
+    }
     m_spoiled = true;
     // The system's own word, from kUserTimeout or keep-alive questions; Beast's is another.
     m_unreachable = ec == asio::error::timed_out;
+    return ec == beast::error::timeout ? AnswerRead::kTimeout : AnswerRead::kBroken;
 }
 
-Task<PieceEnd> UpstreamExchange::skipBody(MonoTime until) {
+Task<AnswerRead> UpstreamExchange::skipBody(MonoTime until) {
     std::string piece;
     while (true) {
-        const PieceEnd end = co_await read(piece, until);
-        if (end != PieceEnd::kPiece) {
+        const AnswerRead end = co_await read(piece, until);
+        if (end != AnswerRead::kPart) {
             co_return end;
         }
     }
 }
 
-Task<PieceEnd> UpstreamExchange::read(std::string& piece, MonoTime until) {
+Task<AnswerRead> UpstreamExchange::read(std::string& piece, MonoTime until) {
     piece.clear();
     while (!m_parser->is_done()) {
         piece.resize(kPieceSize);
@@ -155,19 +156,15 @@
         beast::error_code ec;
         co_await http::async_read_some(connection.stream, connection.buffer, *m_parser,
                                        asio::redirect_error(asio::use_awaitable, ec));
-        if (m_cancelled) {
-            co_return PieceEnd::kCancelled;
-        }
-        if (ec && ec != http::error::need_buffer) {
-            noteReadError(ec);
-            co_return ec == beast::error::timeout ? PieceEnd::kTimeout : PieceEnd::kBroken;
+        if (m_cancelled || (ec && ec != http::error::need_buffer)) {
+            co_return endOf(ec);
         }
         piece.resize(piece.size() - body.size);
         if (!piece.empty()) {
-            co_return PieceEnd::kPiece;
+            co_return AnswerRead::kPart;
         }
     }
-    co_return PieceEnd::kComplete;
+    co_return AnswerRead::kComplete;
 }
 
 std::optional<uint64_t> UpstreamExchange::length() const {
