Let watchers hold short watches before anybody follows them

A watcher held a watch of 2 and 4 s until its first follower asked, its knowledge was older than followers allow, they left it for 10 s, and so on: each found it without followers. Ruled out: links (they stood), the order (the same watchers were chosen). Now a box that is among its zone's watchers holds short watches at once, and one that was never fresh is asked on. Test: WatchDelegationTest "A watcher that is not fresh yet".

--- a/include/freshness/WatchDelegation.h
+++ b/include/freshness/WatchDelegation.h
@@ -43,12 +43,17 @@
     const std::string& choose(std::span<const std::string> zoneOrder, std::string_view self,
                               const std::function<bool(const std::string&)>& linked, MonoTime now);
 
-    // The watcher that this box prefers to follow, linked or not; empty if there is none. A link to
-    // it is worth keeping. Preconditions: as for choose().
+    // The watcher that this box prefers to follow, linked or not; empty if there is none, or while
+    // this box watches by itself. A link to it is worth keeping. Preconditions: as for choose().
     std::string preferred(std::span<const std::string> zoneOrder, std::string_view self,
                           MonoTime now) const;
 
-    // Takes in what `from` replied. Preconditions: none.
+    // Whether this box is one of its zone's watchers, by the order that choose() got last.
+    // Preconditions: none.
+    bool isWatcher() const { return m_isWatcher; }
+
+    // Takes in what `from` replied. Until it has told fresh knowledge once, it is asked on.
+    // Preconditions: none.
     void replied(std::string_view from, const WatcherReply& reply, MonoTime now);
 
     // Takes in how old this box's knowledge is by now; nothing if it lacks some.
@@ -59,13 +64,13 @@
     bool following() const { return m_following; }
 
 private:
-    std::span<const std::string> watchersFor(std::span<const std::string> zoneOrder,
-                                             std::string_view self, MonoTime now) const;
+    std::span<const std::string> watchersOf(std::span<const std::string> zoneOrder) const;
     void watchAlone(MonoTime now);
 
     WatchDelegationSettings m_settings;
     std::string m_watcher;  // Empty: none.
     bool m_following = false;
+    bool m_isWatcher = false;
     MonoTime m_aloneUntil;
 };
 
--- a/include/gateway/KnowledgeExchange.h
+++ b/include/gateway/KnowledgeExchange.h
@@ -46,13 +46,15 @@
     // Takes in a box's answer. Preconditions: none.
     void onReply(const std::string& from, const wire::KnowledgeReplyT& reply);
 
-    // Whether other boxes follow this one. Preconditions: none.
-    bool isFollowed() const;
+    // Whether others follow this box, or are about to: its knowledge is to be young.
+    // Preconditions: none.
+    bool watchesForOthers() const;
 
     // Whether this box follows another. Preconditions: none.
     bool following() const { return m_delegation.following(); }
 
 private:
+    bool isFollowed() const;
     void look();
     void askWatcher(const std::string& watcher);
     void askOthers(MonoTime now);
--- a/src/freshness/WatchDelegation.cpp
+++ b/src/freshness/WatchDelegation.cpp
@@ -26,25 +26,26 @@
 
 }  // namespace
 
-// The watchers of the zone, or none if this box is to watch by itself.
-std::span<const std::string> WatchDelegation::watchersFor(std::span<const std::string> zoneOrder,
-                                                          std::string_view self,
-                                                          MonoTime now) const {
+// The watchers of a zone; none if every box of it watches.
+std::span<const std::string> WatchDelegation::watchersOf(
+    std::span<const std::string> zoneOrder) const {
     const size_t boxes = zoneOrder.size();
-    if (boxes < m_settings.leastBoxes || now < m_aloneUntil) {
+    if (boxes < m_settings.leastBoxes) {
         return {};
     }
-    const size_t wanted = (boxes + m_settings.boxesPerWatcher - 1) / m_settings.boxesPerWatcher;
-    const auto watchers = zoneOrder.first(std::min(boxes, wanted));
-    const bool isWatcher = std::find(watchers.begin(), watchers.end(), self) != watchers.end();
-    return isWatcher ? std::span<const std::string>() : watchers;
+    return zoneOrder.first((boxes + m_settings.boxesPerWatcher - 1) / m_settings.boxesPerWatcher);
 }
 
 const std::string& WatchDelegation::choose(std::span<const std::string> zoneOrder,
                                            std::string_view self,
                                            const std::function<bool(const std::string&)>& linked,
                                            MonoTime now) {
-    std::string chosen = PreferredWatcher(watchersFor(zoneOrder, self, now), self, linked);
+    const auto watchers = watchersOf(zoneOrder);
+    m_isWatcher = std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+    std::string chosen;
+    if (!m_isWatcher && now >= m_aloneUntil) {
+        chosen = PreferredWatcher(watchers, self, linked);
+    }
     if (chosen != m_watcher) {
         m_watcher = std::move(chosen);
         m_following = false;
@@ -54,8 +55,11 @@
 
 std::string WatchDelegation::preferred(std::span<const std::string> zoneOrder,
                                        std::string_view self, MonoTime now) const {
+    if (m_isWatcher || now < m_aloneUntil) {
+        return {};
+    }
     const auto any = [](const std::string&) { return true; };
-    return PreferredWatcher(watchersFor(zoneOrder, self, now), self, any);
+    return PreferredWatcher(watchersOf(zoneOrder), self, any);
 }
 
 void WatchDelegation::replied(std::string_view from, const WatcherReply& reply, MonoTime now) {
@@ -63,11 +67,11 @@
         return;
     }
     const bool fresh = reply.watches && reply.age && *reply.age <= m_settings.mostAge;
-    if (fresh) {
-        m_following = true;
-    } else {
+    if (m_following && !fresh) {
         watchAlone(now);
+        return;
     }
+    m_following = fresh;
 }
 
 void WatchDelegation::noteAge(std::optional<Millis> age, MonoTime now) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -87,7 +87,7 @@
 
 // The more boxes watch, the more calls each change would cost. The followers of a box wait for it.
 Millis Gateway::restAfterUpstreams() const {
-    if (m_knowledge.isFollowed()) {
+    if (m_knowledge.watchesForOthers()) {
         return 0;
     }
     const auto boxes = static_cast<Millis>(m_state.boxesKnown);
@@ -98,7 +98,7 @@
     const GatewaySettings& settings = m_state.settings;
     const Millis own =
         kind == ObjectKind::kConfiguration ? settings.watchWait : settings.upstreamWatchWait;
-    return m_knowledge.isFollowed() ? std::min(own, settings.followedWait) : own;
+    return m_knowledge.watchesForOthers() ? std::min(own, settings.followedWait) : own;
 }
 
 StoreWatch& Gateway::watchOf(ObjectKind kind) {
--- a/src/gateway/KnowledgeExchange.cpp
+++ b/src/gateway/KnowledgeExchange.cpp
@@ -230,6 +230,10 @@
     m_mesh.send(from, std::move(ask));
 }
 
+bool KnowledgeExchange::watchesForOthers() const {
+    return m_delegation.isWatcher() || isFollowed();
+}
+
 bool KnowledgeExchange::isFollowed() const {
     return m_followedAt && ReadClocks().mono - *m_followedAt <= kFollowerGone;
 }
--- a/tests/WatchDelegationTest.cpp
+++ b/tests/WatchDelegationTest.cpp
@@ -70,6 +70,25 @@
     CHECK_FALSE(fresh.following());
 }
 
+// Found in the logs of a site of 85 boxes: a watcher whose long watch was under way when its first
+// follower asked was old, all left it for 10 s, and without followers it held long watches again.
+TEST_CASE("A watcher that is not fresh yet is asked on, and knows that it is one") {
+    const auto zone = Zone(8);
+    WatchDelegation box{WatchDelegationSettings{}};
+    CHECK(box.choose(zone, zone.back(), kAllLinked, kStart) == zone.front());
+    box.replied(zone.front(), {true, 4000}, kStart);
+    CHECK_FALSE(box.following());
+    CHECK(box.choose(zone, zone.back(), kAllLinked, kStart + 333) == zone.front());
+    box.replied(zone.front(), {true, 300}, kStart + 333);
+    CHECK(box.following());
+    CHECK_FALSE(box.isWatcher());
+    WatchDelegation watcher{WatchDelegationSettings{}};
+    CHECK(watcher.choose(zone, zone.front(), kAllLinked, kStart).empty());
+    CHECK(watcher.isWatcher());
+    CHECK(watcher.preferred(zone, zone.front(), kStart).empty());
+    CHECK(box.preferred(zone, zone.back(), kStart) == zone.front());
+}
+
 TEST_CASE("A watcher that is silent, old, or does not watch is left at once, and for a while") {
     const auto trouble = GENERATE(0, 1, 2, 3);
     Follower box;
