Reset a connection to an upstream when it is closed, so that nothing of a request arrives later

Closing leaves what was written with the system, which delivers it. Ruled out: a late send of ours (none is logged after 34.4 s). Now closing resets. Kept connections that rest are closed so, too; nothing is due on them.

--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -40,7 +40,8 @@
     // Reads more of the body into `piece`. Preconditions: send() ended with kPart.
     Task<AnswerRead> read(std::string& piece, MonoTime until);
 
-    // Gives up: the connection is closed, so that the upstream sees it. Preconditions: none.
+    // Gives up: the connection is reset, so that the upstream sees it, and gets no bytes that are
+    // still on their way to it. Preconditions: none.
     void cancel();
 
     // Keeps the connection for another request if nothing more is due on it, else closes it.
--- a/include/net/SocketTools.h
+++ b/include/net/SocketTools.h
@@ -15,11 +15,16 @@
 // seconds, at least 1000.
 void SetKeepAlive(Tcp::socket& socket, Millis idle, int count);
 
+// Makes the next close reset the connection: bytes that are still on their way are lost, and the
+// peer sees at once that nobody waits. Preconditions: the socket is open. Thread safety as above.
+void SetResetOnClose(Tcp::socket& socket);
+
 // What a look at a socket finds.
 enum class SocketPeek : uint8_t {
     kQuiet,     // Nothing came.
     kReadable,  // Bytes wait to be read.
-    kEnded,     // The peer closed or reset the connection, or the socket is closed.
+    kEnded,     // The peer closed the connection, or the socket is closed.
+    kReset,     // The peer reset the connection. Told once; after that it has ended.
 };
 
 // Looks without reading and without waiting. Thread safety: one task at a time.
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -32,6 +32,9 @@
     socket.set_option(Tcp::no_delay(true), ec);
     SetUserTimeout(socket, kUserTimeout);
     SetKeepAlive(socket, kKeepAliveIdle, kKeepAliveCount);
+    // The way to an upstream may be cut: a request that is given up on here would otherwise still
+    // be delivered, and run, when the way is mended.
+    SetResetOnClose(socket);
 }
 
 std::chrono::milliseconds Left(MonoTime until) {
--- a/src/net/SocketTools.cpp
+++ b/src/net/SocketTools.cpp
@@ -29,6 +29,11 @@
     SetOption<IPPROTO_TCP, TCP_KEEPCNT>(socket, count);
 }
 
+void SetResetOnClose(Tcp::socket& socket) {
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 SocketPeek PeekSocket(Tcp::socket& socket) {
     boost::system::error_code ec;
     // Through Asio, not natively: its synchronous receive waits unless Asio knows.
@@ -38,6 +43,9 @@
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
         return SocketPeek::kQuiet;
     }
+    if (ec == asio::error::connection_reset) {
+        return SocketPeek::kReset;
+    }
     return ec || got == 0 ? SocketPeek::kEnded : SocketPeek::kReadable;
 }
 
