--- a/src/gateway/KnowledgeExchange.cpp
+++ b/src/gateway/KnowledgeExchange.cpp
@@ -137,7 +137,7 @@
     wire::KnowledgeAskT ask = questionOf(m_knowledge.ask(ReadClocks().mono));
     ask.follows = true;
     ask.want_upstreams = true;
-    m_mesh.send(watcher, std::move(ask));
+    m_mesh.send(watcher, ask);
 }
 
 void KnowledgeExchange::askOthers(MonoTime now) {
@@ -227,7 +227,7 @@
     wire::KnowledgeAskT ask = questionOf(*round);
     ask.no_content = false;
     ask.want_upstreams = true;
-    m_mesh.send(from, std::move(ask));
+    m_mesh.send(from, ask);
 }
 
 bool KnowledgeExchange::watchesForOthers() const {
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -90,6 +90,7 @@
 
 std::vector<std::string> PeerMesh::linked() const {
     std::vector<std::string> addresses;
+    addresses.reserve(m_links.size());
     for (const auto& [address, peer] : m_links) {
         addresses.push_back(address);
     }
--- a/src/placement/PeerCounts.cpp
+++ b/src/placement/PeerCounts.cpp
@@ -38,9 +38,12 @@
 
 void PeerCounts::subtract(const Counts& counts) {
     for (const auto& [upstream, count] : counts) {
-        // A count of 0 may have taken its sum out already.
         const auto it = m_sums.find(upstream);
-        if (it != m_sums.end() && (it->second -= count) == 0) {
+        if (it == m_sums.end()) {
+            continue;  // A count of 0, whose sum was taken out already.
+        }
+        it->second -= count;
+        if (it->second == 0) {
             m_sums.erase(it);
         }
     }
