--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include "include/gateway/GatewaySettings.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace onyx {
 
@@ -51,6 +52,10 @@
     delegation.leastBoxes =
         static_cast<size_t>(reader.number("followers.least_boxes", 5, 2, 100000));
     delegation.alone = reader.number("followers.alone_ms", delegation.alone, 0, kDay);
+    if (leavingBound < kLeastFollowBound) {
+        // No time for a detour: every box watches.
+        delegation.leastBoxes = std::numeric_limits<size_t>::max();
+    }
     const Millis bound = std::clamp<Millis>(leavingBound, kLeastFollowBound, kMostFollowBound);
     delegation.mostAge = static_cast<Millis>(static_cast<double>(bound) * kFollowedAgePart);
     settings.followPeriod = bound / kFollowPeriodPart;
--- a/tests/GatewaySettingsTest.cpp
+++ b/tests/GatewaySettingsTest.cpp
@@ -53,6 +53,22 @@
     }
 }
 
+TEST_CASE(
+    "A follower leaves a watcher that was cut off well within the bound on leaving upstreams") {
+    for (const int bound : {600, 1000, 2000, 3000, 10000}) {
+        std::string problems;
+        const GatewaySettings settings =
+            Read(kGood + "leaving_bound_ms = " + std::to_string(bound) + "\n", problems);
+        CHECK(problems.empty());
+        CHECK(settings.delegation.mostAge + settings.followPeriod < bound * 8 / 10);
+        // While all is well the knowledge of a follower stays younger than that.
+        CHECK(settings.followedWait + settings.followPeriod < settings.delegation.mostAge);
+    }
+    std::string problems;
+    const GatewaySettings tight = Read(kGood + "leaving_bound_ms = 300\n", problems);
+    CHECK(tight.delegation.leastBoxes > 1000000);
+}
+
 TEST_CASE("A placement that is not known is a problem that names the key") {
     std::string problems;
     Read(kGood + "[placement]\nmodel = \"best\"\n", problems);
