--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -118,7 +118,8 @@
 void Gateway::onReachable(ObjectKind kind, const std::string& why) {
     const bool upstreams = kind == ObjectKind::kUpstreams;
     const std::string_view what = upstreams ? "upstreams" : "configuration";
-    (upstreams ? m_state.upstreamsTold : m_state.configurationTold) = why.empty();
+    bool& told = upstreams ? m_state.upstreamsTold : m_state.configurationTold;
+    told = why.empty();
     if (why.empty()) {
         logEvent(Event::kStoreUp, {{"objects", std::string(what)}});
     } else {
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -20,9 +20,9 @@
 constexpr Millis kFollowedWaitPart = 4;
 constexpr double kFollowedAgePart = 0.6;
 constexpr Millis kFollowPeriodPart = 6;
-constexpr Millis kLeastFollowBound = 600;
-constexpr Millis kMostFollowBound = 4000;
-constexpr double kRetryCaution = 0.75;  // Part of the shared retry budget that is planned with.
+constexpr Millis kLeastFollowBound = 600;  // A shorter bound leaves no time for a detour,
+constexpr Millis kMostFollowBound = 4000;  // and a longer one is not used up.
+constexpr double kRetryCaution = 0.75;     // Part of the shared retry budget that is planned with.
 
 PlacementPolicy ReadPolicy(SettingsReader& reader, std::string_view key,
                            std::string_view otherwise) {
@@ -53,8 +53,7 @@
         static_cast<size_t>(reader.number("followers.least_boxes", 5, 2, 100000));
     delegation.alone = reader.number("followers.alone_ms", delegation.alone, 0, kDay);
     if (leavingBound < kLeastFollowBound) {
-        // No time for a detour: every box watches.
-        delegation.leastBoxes = std::numeric_limits<size_t>::max();
+        delegation.leastBoxes = std::numeric_limits<size_t>::max();  // Every box watches.
     }
     const Millis bound = std::clamp<Millis>(leavingBound, kLeastFollowBound, kMostFollowBound);
     delegation.mostAge = static_cast<Millis>(static_cast<double>(bound) * kFollowedAgePart);
