Serve known keys on a stale configuration where revocation is not strict

Cause: the site's policy on late revocations never reached the product.

StalenessPolicy (a variant, judged by a pure function) is now a setting, store.stale_keys, with an upper limit, store.stale_limit_ms. A stale configuration never says that a route or key does not exist: that is a 503. The strict policy stays the default and is unchanged.

Ruled out: peers' answers. In a cut zone no box has anything newer to say.

--- /dev/null
+++ b/include/freshness/StalenessPolicy.h
@@ -0,0 +1,41 @@
+// Whether a box may act on the configuration that it last heard of, by that configuration's age.
+//
+// A key that operators take away is to stop working within a bound. Where that bound is strict, a
+// box that cannot learn of a revocation refuses every key. Where it is not, callers are better
+// served on the last known configuration: the price is that a revoked key may pass on a box that is
+// cut off, for at most `mostAge`.
+#pragma once
+
+#include "include/base/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+namespace onyx {
+
+// Keys are refused as soon as the configuration is stale.
+struct RefuseStale {};
+
+// Keys pass on a stale configuration until it is older than `mostAge`, in milliseconds.
+struct ServeStale {
+    // A choice: longer than a store is usually away, shorter than a shift of operators.
+    static constexpr Millis kDefaultMostAge = 600000;
+    Millis mostAge = kDefaultMostAge;
+};
+
+using StalenessPolicy = std::variant<RefuseStale, ServeStale>;
+
+// What a configuration of some age may be used for.
+enum class Staleness : uint8_t {
+    kFresh,     // For everything.
+    kStale,     // For what it allows; what it does not know may have come since.
+    kUnusable,  // For no request that needs a key.
+};
+
+// Judges a configuration of `age` (nothing: none is known). `freshLimit`: up to this age it is
+// fresh. Preconditions: none. Thread safety: any thread.
+Staleness JudgeStaleness(const StalenessPolicy& policy, Millis freshLimit,
+                         std::optional<Millis> age);
+
+}  // namespace onyx
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 
 #include "include/admission/RetryAllowance.h"
 #include "include/config/Settings.h"
+#include "include/freshness/StalenessPolicy.h"
 #include "include/freshness/WatchDelegation.h"
 #include "include/health/UpstreamHealth.h"
 #include "include/placement/PromptAffinity.h"
@@ -25,12 +26,13 @@
     int64_t digestBudget = 4000;  // Bytes a second for what this box tells the others.
     std::string logLevel = "info";
 
-    Millis keyKnowledge = 3600;       // Keys pass on knowledge of at most this age.
-    Millis watchWait = 2000;          // How long a watch for the configuration is held.
-    Millis upstreamWatchWait = 4000;  // The same for the list of upstreams.
-    Millis restPerBox = 8;            // After news of upstreams, before the next watch: this for
-    Millis mostUpstreamRest = 500;    // each box of the site, and at most this.
-    Millis storeTimeout = 1500;       // For a store's answer, beyond the time that it may be held.
+    Millis keyKnowledge = 3600;                 // A configuration of at most this age is fresh.
+    StalenessPolicy staleness = RefuseStale{};  // What passes on one that is not.
+    Millis watchWait = 2000;                    // How long a watch for the configuration is held.
+    Millis upstreamWatchWait = 4000;            // The same for the list of upstreams.
+    Millis restPerBox = 8;          // After news of upstreams, before the next watch: this for
+    Millis mostUpstreamRest = 500;  // each box of the site, and at most this.
+    Millis storeTimeout = 1500;     // For a store's answer, beyond the time that it may be held.
     WatchDelegationSettings delegation;
     Millis followPeriod = 333;  // A follower asks its watcher this often.
     Millis followedWait = 500;  // How long a watch is held by a box that others follow.
--- a/include/gateway/GatewayState.h
+++ b/include/gateway/GatewayState.h
@@ -45,8 +45,13 @@
         return allowance(service).takeRepeat(now, std::max(settings.leastBoxes, boxesKnown));
     }
 
+    // What the configuration may be used for. Preconditions: none.
+    Staleness staleness(MonoTime now) const {
+        return JudgeStaleness(settings.staleness, settings.keyKnowledge, keysKnown.age(now));
+    }
+
     // Whether a key may be let through on what is known now. Preconditions: none.
-    bool knowsKeys(MonoTime now) const { return keysKnown.within(settings.keyKnowledge, now); }
+    bool knowsKeys(MonoTime now) const { return staleness(now) != Staleness::kUnusable; }
 
     // Whether the store answers this box, as far as its last calls tell. Preconditions: none.
     bool storeAnswers() const { return configurationTold && upstreamsTold; }
@@ -72,8 +77,9 @@
     std::map<ServiceId, RetryAllowance> allowances;
     std::minstd_rand random{std::random_device{}()};
     MonoTime started;
-    bool leaving = false;   // A stop signal came.
-    bool refusing = false;  // New requests are refused, since this box is about to end.
+    bool leaving = false;      // A stop signal came.
+    bool servesStale = false;  // The last request was decided on a stale configuration.
+    bool refusing = false;     // New requests are refused, since this box is about to end.
     size_t activeRequests = 0;
 };
 
--- a/include/gateway/RelayedRequest.h
+++ b/include/gateway/RelayedRequest.h
@@ -32,6 +32,7 @@
 private:
     std::optional<Refusal> readHead();
     std::optional<Refusal> decide();
+    void noteStaleness();
     bool hasTimeLeft() const;
     Task<AfterAnswer> serve();
     Task<RelayEnd> sendOnce(const UpstreamChoice& choice);
--- a/include/gateway/RouteDecision.h
+++ b/include/gateway/RouteDecision.h
@@ -27,7 +27,8 @@
     const ServiceSpec* spec = nullptr;  // Of the service; null if the catalog does not tell.
     TeamId team;
     int priority = 5;
-    MonoTime until;  // The caller's deadline, or the route's timeout if that is earlier.
+    bool stale = false;  // The catalog is older than is fresh; see StalenessPolicy.
+    MonoTime until;      // The caller's deadline, or the route's timeout if that is earlier.
 };
 
 // One request as far as the decision depends on it.
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -52,6 +52,7 @@
     kStoreUp = 2201,
     kCatalogInForce = 2202,
     kFollowing = 2203,
+    kServingStale = 2204,
     kReadiness = 2300,
     kReloaded = 2301,
 };
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -45,6 +45,19 @@
     return policy;
 }
 
+StalenessPolicy ReadStaleness(SettingsReader& reader, Millis freshLimit) {
+    const std::string name = reader.text("store.stale_keys", "refuse");
+    const Millis mostAge =
+        reader.number("store.stale_limit_ms", ServeStale::kDefaultMostAge, freshLimit, kDay);
+    if (name == "serve") {
+        return ServeStale{mostAge};
+    }
+    if (name != "refuse") {
+        reader.reject("store.stale_keys", "refuse or serve", name);
+    }
+    return RefuseStale{};
+}
+
 void ReadDelegation(SettingsReader& reader, Millis leavingBound, GatewaySettings& settings) {
     WatchDelegationSettings& delegation = settings.delegation;
     delegation.boxesPerWatcher =
@@ -83,6 +96,7 @@
     settings.logLevel = reader.text("log.level", "info");
     const Millis bound = reader.number("store.key_bound_ms", 5000, 100, kDay);
     settings.keyKnowledge = std::max<Millis>(bound / 2, bound - kDeafStore - kSlack);
+    settings.staleness = ReadStaleness(reader, settings.keyKnowledge);
     // Until the next watch ends, what is known is as old as the watch is long; the rest is for a
     // store that stops answering.
     const Millis watchWait = settings.keyKnowledge * 5 / 9;
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -74,6 +74,7 @@
     }
     const bool first = m_decision.route == nullptr;
     m_decision = std::get<RouteDecision>(std::move(decided));
+    noteStaleness();
     if (first) {
         RequestRules rules;
         rules.repeatable = m_decision.route->repeatable;
@@ -84,6 +85,22 @@
     return std::nullopt;
 }
 
+// One line when decisions on a stale configuration begin, and one when they end.
+void RelayedRequest::noteStaleness() {
+    if (m_decision.stale) {
+        m_state.metrics.count("onyx_stale_decisions_total");
+    }
+    if (m_state.servesStale == m_decision.stale) {
+        return;
+    }
+    m_state.servesStale = m_decision.stale;
+    const auto age = m_state.keysKnown.age(ReadClocks().mono);
+    logEvent(Event::kServingStale,
+             {{"stale", m_decision.stale ? "yes" : "no"},
+              {"configuration", std::to_string(m_decision.catalog->version())},
+              {"age_ms", age ? std::to_string(*age) : "none"}});
+}
+
 bool RelayedRequest::hasTimeLeft() const {
     return m_decision.until - ReadClocks().mono >= kLeastSend;
 }
--- a/src/gateway/RouteDecision.cpp
+++ b/src/gateway/RouteDecision.cpp
@@ -35,17 +35,21 @@
     decision.catalog = state.catalog;
     decision.route = decision.catalog->findRoute(question.host, question.target);
     const Route* route = decision.route;
-    if (!state.knowsKeys(now) && (route == nullptr || !route->open)) {
+    const Staleness staleness = state.staleness(now);
+    if (staleness == Staleness::kUnusable && (route == nullptr || !route->open)) {
         return NotKnown("what is known of keys and routes is too old");
     }
+    decision.stale = staleness != Staleness::kFresh;
     if (route == nullptr) {
-        return NotAllowed(status::not_found, "no route");
+        return decision.stale ? NotKnown("no route in a stale configuration")
+                              : NotAllowed(status::not_found, "no route");
     }
     decision.priority = route->priority;
     if (decision.catalog->hasTeams() && !route->open) {
         const TeamKey* key = decision.catalog->findKey(question.key);
         if (key == nullptr) {
-            return NotAllowed(status::unauthorized, "unknown key");
+            return decision.stale ? NotKnown("unknown key in a stale configuration")
+                                  : NotAllowed(status::unauthorized, "unknown key");
         }
         decision.team = key->team;
         decision.priority = key->priority.value_or(decision.priority);
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -89,6 +89,8 @@
             return "store-up";
         case Event::kCatalogInForce:
             return "catalog-in-force";
+        case Event::kServingStale:
+            return "serving-stale";
         case Event::kFollowing:
             return "following";
         case Event::kReadiness:
--- a/tests/FreshnessTest.cpp
+++ b/tests/FreshnessTest.cpp
@@ -1,5 +1,6 @@
 #include "include/freshness/KnowledgeAge.h"
 #include "include/freshness/PeerKnowledge.h"
+#include "include/freshness/StalenessPolicy.h"
 
 #include <catch2/catch.hpp>
 
@@ -22,6 +23,22 @@
     CHECK_FALSE(known.within(300, {401}));
 }
 
+TEST_CASE("A stale configuration serves nothing under the strict policy") {
+    const StalenessPolicy strict = RefuseStale{};
+    CHECK(JudgeStaleness(strict, 3600, 3600) == Staleness::kFresh);
+    CHECK(JudgeStaleness(strict, 3600, 3601) == Staleness::kUnusable);
+    CHECK(JudgeStaleness(strict, 3600, std::nullopt) == Staleness::kUnusable);
+}
+
+TEST_CASE("A stale configuration serves up to a limit where a late revocation is tolerated") {
+    const StalenessPolicy lenient = ServeStale{60000};
+    CHECK(JudgeStaleness(lenient, 3600, 3600) == Staleness::kFresh);
+    CHECK(JudgeStaleness(lenient, 3600, 3601) == Staleness::kStale);
+    CHECK(JudgeStaleness(lenient, 3600, 60000) == Staleness::kStale);
+    CHECK(JudgeStaleness(lenient, 3600, 60001) == Staleness::kUnusable);
+    CHECK(JudgeStaleness(lenient, 3600, std::nullopt) == Staleness::kUnusable);
+}
+
 TEST_CASE("A box that was frozen finds its knowledge too old") {
     KnowledgeAge known;
     known.confirm({1000});
--- a/tests/GatewaySettingsTest.cpp
+++ b/tests/GatewaySettingsTest.cpp
@@ -69,6 +69,20 @@
     CHECK(tight.delegation.leastBoxes > 1000000);
 }
 
+TEST_CASE("Keys are refused on a stale configuration unless the settings say otherwise") {
+    std::string problems;
+    CHECK(std::holds_alternative<RefuseStale>(Read(kGood, problems).staleness));
+    const GatewaySettings serving =
+        Read(kGood + "stale_keys = \"serve\"\nstale_limit_ms = 30000\n", problems);
+    CHECK(problems.empty());
+    REQUIRE(std::holds_alternative<ServeStale>(serving.staleness));
+    CHECK(std::get<ServeStale>(serving.staleness).mostAge == 30000);
+    Read(kGood + "stale_keys = \"perhaps\"\n", problems);
+    CHECK(problems.find("store.stale_keys") != std::string::npos);
+    Read(kGood + "stale_keys = \"serve\"\nstale_limit_ms = 100\n", problems);
+    CHECK(problems.find("store.stale_limit_ms") != std::string::npos);
+}
+
 TEST_CASE("A placement that is not known is a problem that names the key") {
     std::string problems;
     Read(kGood + "[placement]\nmodel = \"best\"\n", problems);
