Log why each attempt goes where it does

Event 2004, attempt-started, has all three; a cache source is an upstream in the code, no longer an address. ExplainPlacement is pure and tested.

--- a/include/gateway/RelayedRequest.h
+++ b/include/gateway/RelayedRequest.h
@@ -37,6 +37,7 @@
     Task<AfterAnswer> serve();
     Task<RelayEnd> sendOnce(const UpstreamChoice& choice);
     Task<RelayEnd> exchangeWith(UpstreamExchange& exchange, const UpstreamChoice& choice);
+    void logAttempt(const UpstreamChoice& choice, MonoTime now) const;
     std::string orderText(const UpstreamChoice& choice) const;
     bool isLastSend(bool mayRepeat) const;
     MonoTime firstAnswerUntil() const;
--- a/include/gateway/UpstreamChoice.h
+++ b/include/gateway/UpstreamChoice.h
@@ -21,7 +21,8 @@
 // Where a request goes.
 struct UpstreamChoice {
     Upstream upstream;
-    std::string fetchFrom;  // Address of an upstream that holds the prompt; empty: none is asked.
+    std::optional<Upstream> cacheSource;  // Holds the prompt's shared parts, which are fetched.
+    PlacementReason reason = PlacementReason::kLoad;
 };
 
 // Chooses among the upstreams that take work, or nothing if there is none. One that was tried is
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -44,6 +44,7 @@
     kRequestRefused = 2001,
     kSendEnded = 2002,
     kCallerBad = 2003,
+    kAttemptStarted = 2004,
     kUpstreamChanged = 2100,
     kUpstreamLeftAlone = 2101,
     kObjectBad = 2102,
--- a/include/placement/PromptAffinity.h
+++ b/include/placement/PromptAffinity.h
@@ -50,4 +50,23 @@
 int ChooseUpstream(const PlacementPolicy& policy, std::span<const PlacementCandidate> candidates,
                    uint64_t key, uint64_t point);
 
+// Why a candidate was chosen, for the log.
+enum class PlacementReason : uint8_t {
+    kPreferred,         // The prompt's first choice.
+    kOverflow,          // The first choice has reached the bound on its load.
+    kPreferredEjected,  // The first choice is ejected.
+    kSameZone,          // Zone-first: an upstream of the own zone.
+    kOtherZone,         // Zone-first: none of the own zone had room.
+    kLoad,              // A baseline policy.
+};
+
+// The reason as it stands in the log. Thread safety: any thread.
+std::string_view PlacementReasonName(PlacementReason reason);
+
+// Says why ChooseUpstream, called with the same arguments, returned `chosen`.
+// Preconditions: `chosen` is an index of `candidates`. Thread safety: any thread.
+PlacementReason ExplainPlacement(const PlacementPolicy& policy,
+                                 std::span<const PlacementCandidate> candidates, uint64_t key,
+                                 int chosen);
+
 }  // namespace onyx
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -142,6 +142,20 @@
     }
 }
 
+void RelayedRequest::logAttempt(const UpstreamChoice& choice, MonoTime now) const {
+    const std::string prompt =
+        m_facts.sharedParts.empty() ? std::string() : m_facts.sharedParts.back();
+    logEvent(Event::kAttemptStarted,
+             {{"request", m_facts.id},
+              {"attempt", std::to_string(m_sends.sends() + 1)},
+              {"upstream", choice.upstream.id},
+              {"reason", std::string(PlacementReasonName(choice.reason))},
+              {"prompt", prompt},
+              {"prompt_tokens", std::to_string(m_facts.promptTokens)},
+              {"cache_source", choice.cacheSource ? choice.cacheSource->id : std::string()},
+              {"after_ms", std::to_string(now - m_arrived)}});
+}
+
 std::string RelayedRequest::orderText(const UpstreamChoice& choice) const {
     UpstreamOrder order;
     order.upstreamId = choice.upstream.id;
@@ -150,7 +164,7 @@
     order.priority = m_decision.priority;
     order.resumeAfter = m_relay->headSent() ? m_relay->lastEvent() : std::nullopt;
     order.model = m_decision.spec != nullptr && m_decision.spec->model;
-    order.fetchFrom = choice.fetchFrom;
+    order.fetchFrom = choice.cacheSource ? choice.cacheSource->address : std::string();
     HttpFields fields(m_message.base());
     DropConnectionHeaders(fields);
     m_state.dialect.writeOrder(fields, order);
@@ -183,6 +197,7 @@
 Task<RelayEnd> RelayedRequest::sendOnce(const UpstreamChoice& choice) {
     const MonoTime start = ReadClocks().mono;
     m_upstreamId = choice.upstream.id;
+    logAttempt(choice, start);
     auto exchange = std::make_shared<UpstreamExchange>(m_state, choice.upstream, m_facts.id);
     m_caller.watch([exchange] { exchange->cancel(); });
     m_state.loads.enter(choice.upstream.id);
--- a/src/gateway/UpstreamChoice.cpp
+++ b/src/gateway/UpstreamChoice.cpp
@@ -38,9 +38,10 @@
     return policy;
 }
 
-// Address of an upstream from which `chosen` can fetch the prompt's shared parts, empty if none.
-std::string HolderFor(const GatewayState& state, const ServiceId& service, const Upstream& chosen,
-                      std::span<const std::string> sharedParts, MonoTime now) {
+// The upstream from which `chosen` can fetch the prompt's shared parts, if there is one.
+std::optional<Upstream> CacheSourceFor(const GatewayState& state, const ServiceId& service,
+                                       const Upstream& chosen,
+                                       std::span<const std::string> sharedParts, MonoTime now) {
     std::vector<HolderCandidate> candidates;
     std::vector<const Upstream*> upstreams;
     for (const auto& [id, entry] : state.upstreams.all()) {
@@ -52,7 +53,7 @@
         upstreams.push_back(&entry.upstream);
     }
     const int source = state.holders.source(sharedParts, chosen.id, candidates, now);
-    return source < 0 ? std::string() : upstreams[source]->address;
+    return source < 0 ? std::nullopt : std::optional<Upstream>(*upstreams[source]);
 }
 
 }  // namespace
@@ -69,14 +70,16 @@
     const bool model = decision.spec != nullptr && decision.spec->model;
     const uint64_t key =
         question.sharedParts.empty() ? question.point : HashText(question.sharedParts.back());
-    const int chosen = ChooseUpstream(PolicyFor(state, model), candidates, key, question.point);
+    const PlacementPolicy policy = PolicyFor(state, model);
+    const int chosen = ChooseUpstream(policy, candidates, key, question.point);
     if (chosen < 0) {
         return std::nullopt;
     }
-    UpstreamChoice choice{*takers[chosen], {}};
+    UpstreamChoice choice{*takers[chosen], std::nullopt,
+                          ExplainPlacement(policy, candidates, key, chosen)};
     if (decision.spec != nullptr && decision.spec->fetchesCache) {
-        choice.fetchFrom =
-            HolderFor(state, decision.service, choice.upstream, question.sharedParts, now);
+        choice.cacheSource =
+            CacheSourceFor(state, decision.service, choice.upstream, question.sharedParts, now);
     }
     return choice;
 }
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -73,6 +73,8 @@
             return "request-refused";
         case Event::kSendEnded:
             return "send-ended";
+        case Event::kAttemptStarted:
+            return "attempt-started";
         case Event::kCallerBad:
             return "caller-bad";
         case Event::kUpstreamChanged:
--- a/src/placement/PromptAffinity.cpp
+++ b/src/placement/PromptAffinity.cpp
@@ -99,6 +99,46 @@
 
 }  // namespace
 
+std::string_view PlacementReasonName(PlacementReason reason) {
+    switch (reason) {
+        case PlacementReason::kPreferred:
+            return "preferred";
+        case PlacementReason::kOverflow:
+            return "overflow";
+        case PlacementReason::kPreferredEjected:
+            return "preferred-ejected";
+        case PlacementReason::kSameZone:
+            return "same-zone";
+        case PlacementReason::kOtherZone:
+            return "other-zone";
+        case PlacementReason::kLoad:
+            return "load";
+    }
+    return "invalid";
+}
+
+PlacementReason ExplainPlacement(const PlacementPolicy& policy,
+                                 std::span<const PlacementCandidate> candidates, uint64_t key,
+                                 int chosen) {
+    if (std::holds_alternative<ZoneFirstPolicy>(policy)) {
+        return candidates[chosen].sameZone ? PlacementReason::kSameZone
+                                           : PlacementReason::kOtherZone;
+    }
+    if (!std::holds_alternative<AffinityPolicy>(policy)) {
+        return PlacementReason::kLoad;
+    }
+    const auto score = [key](const PlacementCandidate& candidate) {
+        return RendezvousScore(key, candidate.id);
+    };
+    const auto preferred =
+        std::max_element(candidates.begin(), candidates.end(),
+                         [&](const auto& a, const auto& b) { return score(a) < score(b); });
+    if (preferred->id == candidates[chosen].id) {
+        return PlacementReason::kPreferred;
+    }
+    return preferred->leftAlone ? PlacementReason::kPreferredEjected : PlacementReason::kOverflow;
+}
+
 int ChooseUpstream(const PlacementPolicy& policy, std::span<const PlacementCandidate> candidates,
                    uint64_t key, uint64_t point) {
     return std::visit(Chooser(candidates, key, point), policy);
--- a/tests/PromptAffinityTest.cpp
+++ b/tests/PromptAffinityTest.cpp
@@ -100,6 +100,23 @@
     CHECK(ChooseUpstream(policy, {}, 3, 3) == -1);
 }
 
+TEST_CASE("The log can tell why an upstream was chosen") {
+    auto candidates = Candidates();
+    const PlacementPolicy policy = AffinityPolicy{};
+    const auto reason = [&] {
+        return ExplainPlacement(policy, candidates, 7, ChooseUpstream(policy, candidates, 7, 7));
+    };
+    const int preferred = ChooseUpstream(policy, candidates, 7, 7);
+    CHECK(reason() == PlacementReason::kPreferred);
+    candidates[preferred].totalLoad = 50;
+    CHECK(reason() == PlacementReason::kOverflow);
+    candidates[preferred].leftAlone = true;
+    CHECK(reason() == PlacementReason::kPreferredEjected);
+    candidates[0].sameZone = true;
+    CHECK(ExplainPlacement(ZoneFirstPolicy{}, candidates, 7, 0) == PlacementReason::kSameZone);
+    CHECK(ExplainPlacement(ZoneFirstPolicy{}, candidates, 7, 1) == PlacementReason::kOtherZone);
+}
+
 TEST_CASE("Random placement follows the request, affinity the prompt") {
     const auto candidates = Candidates();
     std::set<int> random;
