Let boxes announce which upstreams hold which parts of prompts

Cause: a box knew only from its own requests who holds a prompt's parts, and otherwise guessed the upstream that all boxes prefer.

CacheDirectory replaces PromptHolders: a box notes a holder when the head of its answer comes (before: when the request was sent) and adds it to its next digest, 8 bytes a note, once. A known holder goes before the guess.

Ruled out: sources that are still reading (1 of some 400 moves).

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -32,7 +32,7 @@
                  ${ONYX_ROOT}/src/membership/DigestTargets.cpp
                  ${ONYX_ROOT}/src/placement/PeerCounts.cpp
                  ${ONYX_ROOT}/src/placement/PromptAffinity.cpp
-                 ${ONYX_ROOT}/src/placement/PromptHolders.cpp ${ONYX_ROOT}/src/config/Settings.cpp
+                 ${ONYX_ROOT}/src/placement/CacheDirectory.cpp ${ONYX_ROOT}/src/config/Settings.cpp
                  ${ONYX_ROOT}/src/net/HttpServer.cpp ${ONYX_ROOT}/src/net/Launch.cpp
                  ${ONYX_ROOT}/src/net/Net.cpp ${ONYX_ROOT}/src/net/SocketTools.cpp
                  ${ONYX_ROOT}/src/net/Program.cpp ${ONYX_ROOT}/src/observe/Events.cpp
--- a/include/gateway/GatewayState.h
+++ b/include/gateway/GatewayState.h
@@ -7,7 +7,7 @@
 #include "include/gateway/UpstreamPool.h"
 #include "include/health/UpstreamHealth.h"
 #include "include/observe/Metrics.h"
-#include "include/placement/PromptHolders.h"
+#include "include/placement/CacheDirectory.h"
 #include "include/placement/UpstreamLoads.h"
 #include "include/routing/Catalog.h"
 
@@ -70,7 +70,7 @@
     bool upstreamsTold = false;      // and the last one for upstreams.
     UpstreamHealth health;
     UpstreamLoads loads;
-    PromptHolders holders{kPartsRemembered, kPartAge};
+    CacheDirectory caches{kPartsRemembered, kPartAge};
     PeerCounts peerCounts;
     size_t boxesKnown = 1;  // Heard of lately, this one included.
     UpstreamPool pool;
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -230,9 +230,13 @@
     for (const auto& load : digest.loads) {
         counts.emplace_back(load.engine(), load.load());
     }
+    const MonoTime now = ReadClocks().mono;
+    for (const auto& cached : digest.cached) {
+        m_state.caches.learn({cached.part(), cached.upstream()}, now);
+    }
     peer.promised = static_cast<Millis>(digest.next_ms);
     const Millis believed = std::max(kLeastBelieved, kPeriodsBelieved * peer.promised);
-    m_state.peerCounts.take(address, std::move(counts), ReadClocks().mono, believed);
+    m_state.peerCounts.take(address, std::move(counts), now, believed);
 }
 
 // Digests go out on changes, as often as the budget of control bytes allows.
@@ -241,7 +245,7 @@
         const MonoTime now = ReadClocks().mono;
         const PeerCounts::Counts counts = m_state.loads.counts();
         const Millis renewal = std::max(kDigestRenewal, m_digestPeriod);
-        if (counts != m_told || now - m_lastDigest >= renewal) {
+        if (counts != m_told || m_state.caches.hasNews() || now - m_lastDigest >= renewal) {
             sendDigest(counts);
             m_told = counts;
             m_lastDigest = now;
@@ -257,6 +261,9 @@
         const auto load = static_cast<uint16_t>(std::min(count, kMostCount));
         digest.loads.emplace_back(upstream, load, false);
     }
+    for (const CacheNote& note : m_state.caches.takeNews()) {
+        digest.cached.emplace_back(note.part, note.upstream);
+    }
     // The promise is part of the frame whose size it depends on, so the size is taken with any.
     digest.next_ms = static_cast<uint32_t>(kDigestPeriod);
     const size_t size = EncodeMessage(digest).size();
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -227,7 +227,6 @@
         m_state.allowance(m_decision.service).countFirst(start);
         m_counted = true;
     }
-    m_state.holders.note(m_facts.sharedParts, choice.upstream.id, start);
     m_state.metrics.count("onyx_sends_total", {{"service", m_decision.service.value}});
     std::string text = orderText(choice);
     const MonoTime until = firstAnswerUntil();
@@ -235,6 +234,10 @@
     if (head != AnswerRead::kPart) {
         co_return RelayEnd{SendEnd::kUnclear, head == AnswerRead::kTimeout};
     }
+    // With the head of a good answer the upstream has read the prompt.
+    if (exchange.facts().authentic) {
+        m_state.caches.note(m_facts.sharedParts, choice.upstream.id, ReadClocks().mono);
+    }
     if (exchange.facts().load) {
         m_state.loads.witness(choice.upstream.id, *exchange.facts().load, ReadClocks().mono);
     }
--- a/src/gateway/UpstreamChoice.cpp
+++ b/src/gateway/UpstreamChoice.cpp
@@ -42,7 +42,7 @@
 std::optional<Upstream> CacheSourceFor(const GatewayState& state, const ServiceId& service,
                                        const Upstream& chosen,
                                        std::span<const std::string> sharedParts, MonoTime now) {
-    std::vector<HolderCandidate> candidates;
+    std::vector<CacheCandidate> candidates;
     std::vector<const Upstream*> upstreams;
     for (const auto& [id, entry] : state.upstreams.all()) {
         if (entry.upstream.service != service) {
@@ -52,7 +52,7 @@
         candidates.push_back({id, !state.health.leftAlone(id, now), settled});
         upstreams.push_back(&entry.upstream);
     }
-    const int source = state.holders.source(sharedParts, chosen.id, candidates, now);
+    const int source = state.caches.source(sharedParts, chosen.id, candidates, now);
     return source < 0 ? std::nullopt : std::optional<Upstream>(*upstreams[source]);
 }
 
--- a/tests/PromptAffinityTest.cpp
+++ b/tests/PromptAffinityTest.cpp
@@ -1,6 +1,6 @@
+#include "include/placement/CacheDirectory.h"
 #include "include/placement/PeerCounts.h"
 #include "include/placement/PromptAffinity.h"
-#include "include/placement/PromptHolders.h"
 #include "include/placement/UpstreamLoads.h"
 
 #include <catch2/catch.hpp>
@@ -140,47 +140,106 @@
 }
 
 TEST_CASE("A newcomer fetches shared parts from the settled upstream that they prefer") {
-    const PromptHolders holders(100, 60000);
+    const CacheDirectory caches(100, 60000);
     const std::vector<std::string> parts = {"first", "second"};
-    std::vector<HolderCandidate> settled;
+    std::vector<CacheCandidate> settled;
     for (const char* id : kIds) {
         settled.push_back({id});
     }
-    const int before = holders.source(parts, "newcomer", settled, {0});
+    const int before = caches.source(parts, "newcomer", settled, {0});
     REQUIRE(before >= 0);
     // The preferred one itself has nothing to fetch; an unreachable one is not asked.
-    CHECK(holders.source(parts, settled[before].id, settled, {0}) == -1);
+    CHECK(caches.source(parts, settled[before].id, settled, {0}) == -1);
     settled[before].reachable = false;
-    CHECK(holders.source(parts, "newcomer", settled, {0}) == -1);
+    CHECK(caches.source(parts, "newcomer", settled, {0}) == -1);
     settled[before].reachable = true;
     settled[before].settled = false;
-    CHECK(holders.source(parts, "newcomer", settled, {0}) != before);
+    CHECK(caches.source(parts, "newcomer", settled, {0}) != before);
 }
 
 TEST_CASE("A first part is fetched from an upstream that got it from this box, if it is recent") {
-    PromptHolders holders(100, 1000);
-    const std::vector<HolderCandidate> settled = {{"a"}, {"b"}};
+    CacheDirectory caches(100, 1000);
+    const std::vector<CacheCandidate> settled = {{"a"}, {"b"}};
     // Find prompts that share their first part and prefer different upstreams.
     std::vector<std::string> toA;
     std::vector<std::string> toB;
     for (int i = 0; toA.empty() || toB.empty(); ++i) {
         const std::vector<std::string> parts = {"first", "last" + std::to_string(i)};
-        (holders.source(parts, "a", settled, {0}) < 0 ? toA : toB) = parts;
+        (caches.source(parts, "a", settled, {0}) < 0 ? toA : toB) = parts;
     }
-    holders.note(toA, "a", {0});
-    CHECK(holders.source(toB, "b", settled, {500}) == 0);
-    CHECK(holders.source(toB, "b", settled, {1500}) == -1);
-    holders.note(toB, "b", {600});
-    CHECK(holders.source(toB, "b", settled, {700}) == -1);
+    caches.note(toA, "a", {0});
+    CHECK(caches.source(toB, "b", settled, {500}) == 0);
+    CHECK(caches.source(toB, "b", settled, {1500}) == -1);
+    caches.note(toB, "b", {600});
+    CHECK(caches.source(toB, "b", settled, {700}) == -1);
+}
+
+// Found in the logs of pcw-onyx scale-2: boxes knew only of their own sends, so that an upstream
+// which took over from another read parts that a third one held.
+TEST_CASE("A part is fetched from an upstream that another box has seen to hold it") {
+    CacheDirectory seer(100, 60000);
+    CacheDirectory other(100, 60000);
+    const std::vector<CacheCandidate> candidates = {
+        {"a", true, false}, {"b", true, false}, {"c", true, false}};
+    const std::vector<std::string> parts = {"first", "last"};
+    seer.note(parts, "b", {0});
+    CHECK(other.source(parts, "a", candidates, {10}) == -1);
+    for (const CacheNote& note : seer.takeNews()) {
+        other.learn(note, {10});
+    }
+    CHECK(other.source(parts, "a", candidates, {20}) == 1);
+    CHECK(other.source(parts, "b", candidates, {20}) == -1);
+    CHECK(other.source(parts, "a", candidates, {60011}) == -1);
+}
+
+TEST_CASE("An ejected holder is passed over for another one") {
+    CacheDirectory caches(100, 60000);
+    std::vector<CacheCandidate> candidates = {
+        {"a", true, false}, {"b", true, false}, {"c", true, false}};
+    const std::vector<std::string> parts = {"first", "last"};
+    caches.note(parts, "b", {0});
+    caches.note(parts, "c", {0});
+    CHECK(caches.source(parts, "a", candidates, {10}) == 1);
+    candidates[1].reachable = false;
+    CHECK(caches.source(parts, "a", candidates, {10}) == 2);
+}
+
+TEST_CASE("What a box has seen of caches is announced once, and what it was told is not") {
+    CacheDirectory caches(100, 10000);
+    const std::vector<std::string> parts = {"first", "last"};
+    caches.note(parts, "a", {0});
+    const std::vector<CacheNote> news = caches.takeNews();
+    CHECK(news.size() == 2);
+    CHECK_FALSE(caches.hasNews());
+    caches.note(parts, "a", {100});
+    CHECK_FALSE(caches.hasNews());
+    CacheDirectory other(100, 10000);
+    for (const CacheNote& note : news) {
+        other.learn(note, {100});
+    }
+    other.note(parts, "a", {200});
+    CHECK_FALSE(other.hasNews());
+    // Before others forget it, it is announced again.
+    caches.note(parts, "a", {6000});
+    CHECK(caches.takeNews().size() == 2);
+}
+
+TEST_CASE("Announcements that find no way out are bounded") {
+    CacheDirectory caches(10000, 10000);
+    for (size_t i = 0; i < 2 * CacheDirectory::kMaxNews; ++i) {
+        const std::vector<std::string> parts = {"part" + std::to_string(i)};
+        caches.note(parts, "a", {0});
+    }
+    CHECK(caches.takeNews().size() == CacheDirectory::kMaxNews);
 }
 
 TEST_CASE("The memory of parts is bounded") {
-    PromptHolders holders(10, 1000);
+    CacheDirectory caches(10, 1000);
     for (int i = 0; i < 100; ++i) {
         const std::vector<std::string> parts = {"part" + std::to_string(i)};
-        holders.note(parts, "a", {i});
+        caches.note(parts, "a", {i});
     }
-    CHECK(holders.size() == 10);
+    CHECK(caches.size() == 10);
 }
 
 TEST_CASE("Other boxes' counts add up while they are fresh") {
