Hold a watch only so long that knowledge gets one watch old

Cause: a watch that ends with changes covers only what was acknowledged before it was sent, and the next one was held in full, so the knowledge of a watcher got two watches old.

Ruled out: the store (no store-down in the log), slow links (replies in 10 ms).

--- a/include/freshness/KnowledgeAge.h
+++ b/include/freshness/KnowledgeAge.h
@@ -7,6 +7,7 @@
 
 #include "include/base/Time.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace onyx {
@@ -19,6 +20,15 @@
     return empty && arrived - sent >= wait ? sent + wait : sent;
 }
 
+// How long the next watch may be held so that what is known gets no older than `most` while all is
+// well. A watch that ended with changes covers only what was acknowledged before it was sent; were
+// the next one held for all of `most`, the knowledge would get twice as old. `age`: of what is
+// known; `least`: a watch is held for so long at any rate. Preconditions: 0 <= least <= most.
+// Thread safety: any thread.
+inline Millis WaitWithin(Millis most, Millis age, Millis least) {
+    return std::clamp(most - age, least, most);
+}
+
 // How long a box holds its next watch, between half of `most` and `most`. A change ends the watches
 // of all boxes at the same moment; were the next ones equally long, all boxes' knowledge would be
 // equally old ever after, and when the store falls silent no box could tell the others anything
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -92,6 +92,7 @@
     bool m_paused = false;
     bool m_listed = false;
     uint64_t m_revision = 0;
+    MonoTime m_asOf;  // Everything acknowledged before this is known.
     std::minstd_rand m_random{std::random_device{}()};
     Millis m_pause = 0;
     bool m_failed = false;  // The last call.
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -130,6 +130,7 @@
     m_listed = true;
     m_revision = revision;
     news.revision = revision;
+    m_asOf = news.asOf;
     m_sink.onNews(news);
     co_return true;
 }
@@ -139,7 +140,8 @@
     if (m_failed) {
         return std::min(kFirstWait, wait);
     }
-    return m_settings.staggered ? StaggeredWait(wait, m_random()) : wait;
+    const Millis most = m_settings.staggered ? StaggeredWait(wait, m_random()) : wait;
+    return WaitWithin(most, ReadClocks().mono - m_asOf, std::min(kFirstWait, most));
 }
 
 Task<Result<bool>> StoreWatch::watch() {
@@ -172,6 +174,7 @@
     news.objects = std::move(changes.value().objects);
     news.asOf = WatchCovers(sent, ReadClocks().mono, wait, news.objects.empty());
     news.revision = m_revision;
+    m_asOf = news.asOf;
     m_sink.onNews(news);
     const Millis rest = news.objects.empty() ? 0 : m_sink.rest();
     if (rest > 0) {
--- a/tests/FreshnessTest.cpp
+++ b/tests/FreshnessTest.cpp
@@ -23,6 +23,24 @@
     CHECK_FALSE(known.within(300, {401}));
 }
 
+// Found in the logs of pcw-onyx-grown quiet-1: after a watch that ended with changes the watchers'
+// knowledge got two watches old, and 79 followers left them at once, though all was well.
+TEST_CASE("A change does not let knowledge grow two watches old") {
+    constexpr Millis kMost = 750;
+    constexpr Millis kLeast = 10;
+    CHECK(WaitWithin(kMost, 0, kLeast) == 750);
+    CHECK(WaitWithin(kMost, 740, kLeast) == 10);
+    CHECK(WaitWithin(kMost, 5000, kLeast) == 10);
+    // Watches that end at any time by a change: the age stays near one watch.
+    for (Millis change = 1; change < kMost; ++change) {
+        const MonoTime sent{1000};
+        const MonoTime ended = sent + change;
+        const MonoTime asOf = WatchCovers(sent, ended, kMost, false);
+        const Millis next = WaitWithin(kMost, ended - asOf, kLeast);
+        CHECK(ended + next - asOf <= kMost + kLeast);
+    }
+}
+
 TEST_CASE("A stale configuration serves nothing under the strict policy") {
     const StalenessPolicy strict = RefuseStale{};
     CHECK(JudgeStaleness(strict, 3600, 3600) == Staleness::kFresh);
