Let watchers rest after news and boxes that may follow rest after a list

A watcher now rests for a sixteenth of the drain bound after news of upstreams, well below its followers' period of asking. After a list a box rests for one such period, unless it watches for others or is known to be in a small zone; a box that loses its watcher ends the rest at once.

--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -60,6 +60,7 @@
     void takeUpstream(const Upstream& upstream, uint64_t revision, std::string_view source);
     void forgetUpstream(const std::string& id, uint64_t revision, std::string_view source);
     Millis restAfterUpstreams() const;
+    Millis restAfterList() const;
     Millis watchWait(ObjectKind kind) const;
     StoreWatch& watchOf(ObjectKind kind);
     void onFollowing(bool following);
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -35,6 +35,8 @@
     Millis storeTimeout = 1500;     // For a store's answer, beyond the time that it may be held.
     WatchDelegationSettings delegation;
     Millis followPeriod = 333;  // A follower asks its watcher this often.
+    Millis listRest = 333;      // After a list, before the first watch, of a box that may follow.
+    Millis followedRest = 125;  // After news of upstreams, of a box that others follow.
     Millis followedWait = 500;  // How long a watch is held by a box that others follow.
 
     Millis connectTimeout = 300;    // To an upstream.
--- a/include/gateway/KnowledgeExchange.h
+++ b/include/gateway/KnowledgeExchange.h
@@ -50,6 +50,9 @@
     // Preconditions: none.
     bool watchesForOthers() const;
 
+    // Whether it is known that every box of the zone watches the store. Preconditions: none.
+    bool inSmallZone() const;
+
     // Whether this box follows another. Preconditions: none.
     bool following() const { return m_delegation.following(); }
 
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -46,6 +46,8 @@
         // Pause after a watch that told of changes; those that follow it come together.
         std::function<Millis()> rest;
         std::function<Millis()> wait;  // How long the next watch is held.
+        // Pause after a list: a box that follows another soon needs no watch of its own.
+        std::function<Millis()> restAfterList;
     };
 
     // Preconditions: the dialect outlives the watch.
@@ -75,6 +77,7 @@
     Task<Result<bool>> watch();
     Millis nextWait();
     Task<> waitWhilePaused();
+    Task<> restAfterList();
     Task<Result<Answer>> call(std::string target, Millis timeout);
     Task<Result<bool>> connect();
     void disconnect();
@@ -90,6 +93,7 @@
     boost::beast::flat_buffer m_buffer;
     asio::steady_timer m_wake;  // Cancelled when a pause may be over.
     bool m_paused = false;
+    bool m_urgent = false;  // A pause after a list is to end.
     bool m_listed = false;
     uint64_t m_revision = 0;
     MonoTime m_asOf;  // Everything acknowledged before this is known.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -71,6 +71,7 @@
         sink.onReachable = [this, kind](const std::string& why) { onReachable(kind, why); };
         sink.rest = std::move(rest);
         sink.wait = [this, kind] { return watchWait(kind); };
+        sink.restAfterList = [this] { return restAfterList(); };
         sink.onCall = [this] { m_state.metrics.count("onyx_store_calls_total"); };
         auto made = std::make_unique<StoreWatch>(m_state.io.get_executor(), m_state.dialect, watch,
                                                  std::move(sink));
@@ -85,15 +86,23 @@
         [this](const StoreNews& news) { onUpstreams(news); });
 }
 
-// The more boxes watch, the more calls each change would cost. The followers of a box wait for it.
+// The more boxes watch, the more calls each change would cost. The followers of a box wait for it
+// besides, so it rests only for what comes close together.
 Millis Gateway::restAfterUpstreams() const {
     if (m_knowledge.watchesForOthers()) {
-        return 0;
+        return m_state.settings.followedRest;
     }
     const auto boxes = static_cast<Millis>(m_state.boxesKnown);
     return std::min(m_state.settings.mostUpstreamRest, m_state.settings.restPerBox * boxes);
 }
 
+// A box of a large zone mostly follows a watcher by then; whether the zone is large a box that has
+// just started does not know.
+Millis Gateway::restAfterList() const {
+    const bool watches = m_knowledge.watchesForOthers() || m_knowledge.inSmallZone();
+    return watches ? 0 : m_state.settings.listRest;
+}
+
 Millis Gateway::watchWait(ObjectKind kind) const {
     const GatewaySettings& settings = m_state.settings;
     const Millis own =
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -20,6 +20,9 @@
 constexpr Millis kFollowedWaitPart = 4;
 constexpr double kFollowedAgePart = 0.6;
 constexpr Millis kFollowPeriodPart = 6;
+// Changes of upstreams that come together, as in a release, cost a watcher one call. Small beside
+// the period of followers, who learn of them only then.
+constexpr Millis kFollowedRestPart = 16;
 constexpr Millis kLeastFollowBound = 600;  // A shorter bound leaves no time for a detour,
 constexpr Millis kMostFollowBound = 4000;  // and a longer one is not used up.
 constexpr double kRetryCaution = 0.75;     // Part of the shared retry budget that is planned with.
@@ -71,6 +74,8 @@
     const Millis bound = std::clamp<Millis>(leavingBound, kLeastFollowBound, kMostFollowBound);
     delegation.mostAge = static_cast<Millis>(static_cast<double>(bound) * kFollowedAgePart);
     settings.followPeriod = bound / kFollowPeriodPart;
+    settings.listRest = settings.followPeriod;
+    settings.followedRest = bound / kFollowedRestPart;
     settings.followedWait = bound / kFollowedWaitPart;
 }
 
--- a/src/gateway/KnowledgeExchange.cpp
+++ b/src/gateway/KnowledgeExchange.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-constexpr Millis kAskPeriod = 400;      // While the store is silent.
-constexpr Millis kLate = 250;           // Beyond the usual age, before others are asked.
+constexpr Millis kAskPeriod = 400;  // While the store is silent.
+constexpr Millis kLate = 250;       // Beyond the usual age, before others are asked.
+// A box that has just started knows its zone's boxes after so long: two periods of dialing.
+constexpr Millis kMeetTime = 1000;
 constexpr Millis kFollowerGone = 3000;  // A follower that did not ask for this long is none.
 
 std::unique_ptr<wire::UpstreamEntryT> EntryOf(const Upstream& upstream) {
@@ -230,6 +232,11 @@
     m_mesh.send(from, ask);
 }
 
+bool KnowledgeExchange::inSmallZone() const {
+    const bool metOthers = ReadClocks().mono - m_state.started >= kMeetTime;
+    return metOthers && m_mesh.zoneOrder().size() < m_state.settings.delegation.leastBoxes;
+}
+
 bool KnowledgeExchange::watchesForOthers() const {
     return m_delegation.isWatcher() || isFollowed();
 }
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -39,6 +39,7 @@
 void StoreWatch::resume() {
     if (m_paused) {
         m_paused = false;
+        m_urgent = true;
         refresh();
     }
 }
@@ -52,6 +53,19 @@
 Task<> StoreWatch::waitWhilePaused() {
     while (m_paused && m_listed) {
         disconnect();
+        m_wake.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code ec;
+        co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+// A refresh() waits until the rest is over, so that quick changes cost few calls; after a resume()
+// nobody else tells this box any more, so the rest ends.
+Task<> StoreWatch::restAfterList() {
+    m_urgent = false;
+    const MonoTime until = ReadClocks().mono + m_sink.restAfterList();
+    while (!m_urgent && ReadClocks().mono < until) {
+        m_wake.expires_after(std::chrono::milliseconds(until - ReadClocks().mono));
         boost::system::error_code ec;
         co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
@@ -65,6 +79,10 @@
             done = co_await watch();
         } else {
             done = co_await list();
+            if (done.has_value()) {
+                tellReachable("");
+                co_await restAfterList();
+            }
         }
         if (done.has_value()) {
             m_pause = 0;
