Ask a store in trouble rarely while this box can serve without it

The longest pause is now 1.6 s while the box can serve on what it knows or peers tell, and 0.4 s as soon as requests are refused for lack of it.

--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -23,8 +23,7 @@
     ObjectKind kind = ObjectKind::kConfiguration;
     Millis timeout = 1500;   // For an answer, beyond the time that a watch is held.
     bool staggered = false;  // Watches are held for StaggeredWait of their time, not for all of it.
-    Millis firstPause = 50;  // After a failure; doubles up to mostPause.
-    Millis mostPause = 400;
+    Millis firstPause = 50;  // After a failure; doubles up to Sink::maxPause.
 };
 
 // News from the store.
@@ -45,7 +44,8 @@
         std::function<void()> onCall;  // A call was sent.
         // Pause after a watch that told of changes; those that follow it come together.
         std::function<Millis()> rest;
-        std::function<Millis()> wait;  // How long the next watch is held.
+        std::function<Millis()> wait;      // How long the next watch is held.
+        std::function<Millis()> maxPause;  // Longest pause after failures in a row.
         // Pause after a list: a box that follows another soon needs no watch of its own.
         std::function<Millis()> restAfterList;
     };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -11,6 +11,11 @@
 
 constexpr Millis kDrainLook = 20;
 constexpr Millis kTrimPeriod = 1000;
+// Longest pauses between calls to a store that fails. Choices: the urgent one is a fraction of what
+// a caller waits; with the relaxed one a store that is back is found well within the time after
+// which boxes are expected to be up to date again (3 s on all sites so far).
+constexpr Millis kUrgentPause = 400;
+constexpr Millis kRelaxedPause = 1600;
 
 }  // namespace
 
@@ -71,6 +76,7 @@
         sink.onReachable = [this, kind](const std::string& why) { onReachable(kind, why); };
         sink.rest = std::move(rest);
         sink.wait = [this, kind] { return watchWait(kind); };
+        sink.maxPause = [this] { return maxStorePause(); };
         sink.restAfterList = [this] { return restAfterList(); };
         sink.onCall = [this] { m_state.metrics.count("onyx_store_calls_total"); };
         auto made = std::make_unique<StoreWatch>(m_state.io.get_executor(), m_state.dialect, watch,
@@ -96,6 +102,12 @@
     return std::min(m_state.settings.mostUpstreamRest, m_state.settings.restPerBox * boxes);
 }
 
+// Every call of every box to a store in trouble is load on it. While this box can serve without the
+// store it is asked rarely, and often as soon as requests are refused for lack of it.
+Millis Gateway::maxStorePause() const {
+    return knowsEnough() ? kRelaxedPause : kUrgentPause;
+}
+
 // A box of a large zone mostly follows a watcher by then; whether the zone is large a box that has
 // just started does not know.
 Millis Gateway::restAfterList() const {
@@ -292,9 +304,12 @@
              {{"upstream", id}, {"state", "gone"}, {"source", std::string(source)}});
 }
 
+bool Gateway::knowsEnough() const {
+    return m_state.catalog && m_state.upstreamsListed && m_state.knowsKeys(ReadClocks().mono);
+}
+
 bool Gateway::ready() const {
-    return !m_state.leaving && m_state.catalog && m_state.upstreamsListed &&
-           m_state.knowsKeys(ReadClocks().mono);
+    return !m_state.leaving && knowsEnough();
 }
 
 Task<> Gateway::answerReadiness(HttpExchange& exchange) {
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -98,7 +98,8 @@
 }
 
 Millis StoreWatch::pauseAfterFailure() {
-    m_pause = m_pause == 0 ? m_settings.firstPause : std::min(m_settings.mostPause, m_pause * 2);
+    m_pause = m_pause == 0 ? m_settings.firstPause : m_pause * 2;
+    m_pause = std::min(m_pause, m_sink.maxPause());
     return std::uniform_int_distribution<Millis>(m_pause / 2, m_pause)(m_random);
 }
 
