Close kept connections to an upstream that is ejected

Hypothesis: the request that tries an ejected upstream next is lost if it goes out on a kept connection whose way is cut, since it may have run; on a new connection that does not open it can still go elsewhere.

--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -253,6 +253,9 @@
     const std::string end(SendEndName(sent.end));
     const std::optional<UpstreamSign> sign = SignOfSend(sent.end, exchange.unreachable());
     if (sign && !m_caller.gone() && m_state.health.note(upstream.id, *sign, start, now)) {
+        // Bytes sent on a kept connection may have arrived, those of a connection that does not
+        // open have not: the request that tries this upstream next can still go elsewhere.
+        m_state.pool.drop(upstream.id);
         logEvent(Event::kUpstreamLeftAlone, {{"upstream", upstream.id}, {"after", end}});
     }
     m_state.metrics.count("onyx_send_ends_total", {{"end", end}});
