Bound an attempt's silence by the route's objective

Cause: a fixed 0.3 s to open a connection and 0.7 s for bytes to be acknowledged are 3 and 7 objectives of the lookups, and more than one of most streams: where a zone is cut off, each request that met a silent upstream was late, tried again or not.

A connection gets a quarter of the objective (0.1 s to the setting's 0.3 s), bytes half of it (0.3 to 0.7 s: a lost packet is sent again after 0.2 s).

--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -1,6 +1,7 @@
 // One send of a request to one upstream, and its answer.
 #pragma once
 
+#include "include/gateway/AttemptBounds.h"
 #include "include/gateway/GatewayState.h"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -30,7 +31,7 @@
 
     // Takes a kept connection that rested for at most `mostRest`, or opens one.
     // Errors: kUnavailable, kTimeout; nothing was sent then. Preconditions: called once.
-    Task<Result<bool>> connect(Millis mostRest);
+    Task<Result<bool>> connect(Millis mostRest, const AttemptBounds& bounds);
 
     // Sends `message` and reads the head of the answer that carries this request's id. Other
     // answers, which nobody waits for any more, are passed over.
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -216,7 +216,9 @@
     const Route& route = *m_decision.route;
     const Millis rest =
         route.repeatable ? m_state.settings.idleConnection : m_state.settings.onceConnection;
-    const Result<bool> connected = co_await exchange.connect(rest);
+    const AttemptBounds bounds =
+        AttemptBounds::For(route.objective, m_state.settings.connectTimeout);
+    const Result<bool> connected = co_await exchange.connect(rest, bounds);
     // Time went by: what this box knows must still allow the send, and so must the caller.
     const bool allowed = connected.has_value() && !m_caller.gone() &&
                          (route.open || m_state.knowsKeys(ReadClocks().mono));
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -20,17 +20,14 @@
 
 constexpr size_t kPieceSize = size_t{16} * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
-// An upstream that is cut off says nothing: bytes that it does not acknowledge for this long, or
-// keep-alive questions that it does not answer, end the connection. Long enough for a packet that
-// is lost twice in a row (200 ms, then 400 ms more), short enough for another upstream to answer.
-constexpr Millis kUserTimeout = 700;
+// Keep-alive questions that a silent upstream does not answer end the connection.
 constexpr Millis kKeepAliveIdle = 1000;
 constexpr int kKeepAliveCount = 2;
 
-void PrepareSocket(Tcp::socket& socket) {
+void PrepareSocket(Tcp::socket& socket, Millis unacknowledged) {
     beast::error_code ec;
     socket.set_option(Tcp::no_delay(true), ec);
-    SetUserTimeout(socket, kUserTimeout);
+    SetUserTimeout(socket, unacknowledged);
     SetKeepAlive(socket, kKeepAliveIdle, kKeepAliveCount);
     // The way to an upstream may be cut: a request that is given up on here would otherwise still
     // be delivered, and run, when the way is mended.
@@ -47,10 +44,11 @@
 UpstreamExchange::UpstreamExchange(GatewayState& state, Upstream upstream, std::string requestId)
     : m_state(state), m_upstream(std::move(upstream)), m_requestId(std::move(requestId)) {}
 
-Task<Result<bool>> UpstreamExchange::connect(Millis mostRest) {
+Task<Result<bool>> UpstreamExchange::connect(Millis mostRest, const AttemptBounds& bounds) {
     m_connection = m_state.pool.take(m_upstream.id, mostRest, ReadClocks().mono);
     if (m_connection) {
         m_reused = true;
+        SetUserTimeout(m_connection->stream.socket(), bounds.unacknowledged);
         co_return true;
     }
     const Result<Endpoint> peer = ParseEndpoint(m_upstream.address);
@@ -60,7 +58,7 @@
     m_connection = m_state.pool.create();
     m_state.metrics.count("onyx_upstream_connections_total");
     auto& stream = m_connection->stream;
-    stream.expires_after(std::chrono::milliseconds(m_state.settings.connectTimeout));
+    stream.expires_after(std::chrono::milliseconds(bounds.connect));
     const Endpoint& endpoint = peer.value();
     beast::error_code ec;
     co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
@@ -69,7 +67,7 @@
         co_return Error{late ? ErrorCode::kTimeout : ErrorCode::kUnavailable, "upstream.connect",
                         m_upstream.address, ec.message()};
     }
-    PrepareSocket(stream.socket());
+    PrepareSocket(stream.socket(), bounds.unacknowledged);
     co_return true;
 }
 
@@ -132,7 +130,7 @@
         return AnswerRead::kCancelled;
     }
     m_spoiled = true;
-    // The system's own word, from kUserTimeout or keep-alive questions; Beast's is another.
+    // The system's own word, from AttemptBounds or keep-alive questions; Beast's is another.
     m_unreachable = ec == asio::error::timed_out;
     return ec == beast::error::timeout ? AnswerRead::kTimeout : AnswerRead::kBroken;
 }
