Use more of the allowed bound on an upstream's load

Hypothesis: 1.6 x the mean + 2 sends prompts away from the upstream that holds them, and moves their cache, well before the limit of twice the mean + 3. The loads are a digest old, some 0.1 s; 1.8 x + 2.5 leaves a tenth for that.

--- a/include/placement/PromptAffinity.h
+++ b/include/placement/PromptAffinity.h
@@ -26,9 +26,10 @@
 // Prompts with the same shared part prefer the same upstream, over all zones; on overflow the
 // next in the same order takes them.
 struct AffinityPolicy {
-    // An upstream is given no more than multiple x the mean load + margin.
-    double multiple = 1.6;
-    double margin = 2.0;
+    // An upstream is given no more than multiple x the mean load + margin. The operators allow
+    // twice the mean + 3; the rest is for loads that are a digest (0.1 s) old.
+    double multiple = 1.8;
+    double margin = 2.5;
     // The loads come from a sample of the boxes and are old by the time that many requests take. A
     // sharp bound would then be passed by all boxes at once, so each request draws its own, between
     // a little over the mean and the full one.
