--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -26,7 +26,7 @@
 struct CallerFacts {
     std::string id;
     std::string key;                       // The team's key; empty if there is none.
-    std::optional<Millis> patience;        // How long the caller waits.
+    std::optional<Millis> clientTimeout;   // How long the caller waits.
     std::vector<std::string> sharedParts;  // Of the prompt, in its order; its own part is left out.
     int64_t promptTokens = 0;
     std::optional<uint64_t> lastEventId;
@@ -72,9 +72,9 @@
     // Marks an answer of our own with the request that it belongs to. Preconditions: none.
     virtual void markAnswer(HttpFields& fields, std::string_view requestId) const = 0;
 
-    // Header that tells a refused caller when to come back, with its value.
+    // Header that tells a refused caller when to retry, with its value.
     // Preconditions: wait >= 0.
-    virtual std::pair<std::string, std::string> comeBack(Millis wait) const = 0;
+    virtual std::pair<std::string, std::string> retryAfter(Millis wait) const = 0;
 
     // Path of the readiness question. Preconditions: none.
     virtual std::string_view readinessTarget() const = 0;
--- a/include/freshness/PeerKnowledge.h
+++ b/include/freshness/PeerKnowledge.h
@@ -25,7 +25,7 @@
     static constexpr size_t kMostRounds = 64;  // Questions that still may be answered.
     static constexpr size_t kMostAsked = 8;    // Boxes that are asked in one round.
     // A box that was asked for more than ages and has not answered for this long is given up on.
-    static constexpr Millis kFetchPatience = 1000;
+    static constexpr Millis kFetchTimeout = 1000;
 
     // Notes that a question is sent now and returns its number. Preconditions: times do not fall.
     uint64_t ask(MonoTime now);
--- a/include/gateway/AnswerRelay.h
+++ b/include/gateway/AnswerRelay.h
@@ -20,7 +20,7 @@
 };
 
 // Until when the next bytes are waited for; asked anew before each read.
-struct RelayPatience {
+struct ReadDeadlines {
     std::function<MonoTime()> first;  // While the caller has nothing of the answer.
     std::function<MonoTime()> next;   // Later.
 };
@@ -38,7 +38,7 @@
     // answers are streams. `until`: a whole answer is waited for so long at least.
     // Preconditions: the exchange read a head.
     Task<RelayEnd> relay(UpstreamExchange& exchange, bool stream, MonoTime until,
-                         const RelayPatience& patience);
+                         const ReadDeadlines& deadlines);
 
     // Sends what is left: the end of a stream, or the whole answer that was kept last.
     // False if the caller is gone. Preconditions: relay() ended with kAnswered or kFailed.
@@ -53,7 +53,7 @@
 
 private:
     Task<RelayEnd> relayWhole(UpstreamExchange& exchange, SendEnd judged, MonoTime until);
-    Task<RelayEnd> relayPieces(UpstreamExchange& exchange, const RelayPatience& patience);
+    Task<RelayEnd> relayPieces(UpstreamExchange& exchange, const ReadDeadlines& deadlines);
     // The events that `bytes` complete and that the caller does not have yet.
     std::string newEvents(EventStream& stream, std::string_view bytes);
     Task<bool> pass(const ResponseHead& head, std::string_view bytes);
--- a/include/gateway/RouteDecision.h
+++ b/include/gateway/RouteDecision.h
@@ -15,7 +15,7 @@
 struct Refusal {
     unsigned status = 503;
     std::string reason;
-    std::optional<Millis> comeBack;  // When it makes sense.
+    std::optional<Millis> retryAfter;  // When it makes sense.
 };
 
 // What a request is for, by one catalog. The route is part of the catalog, so they are replaced
@@ -36,7 +36,7 @@
     std::string_view host;
     std::string_view target;
     std::string_view key;
-    std::optional<Millis> patience;  // How long the caller waits.
+    std::optional<Millis> clientTimeout;  // How long the caller waits.
     MonoTime arrived;
     uint64_t servicePoint = 0;  // Where the request falls among a route's weights.
 };
--- a/include/health/UpstreamHealth.h
+++ b/include/health/UpstreamHealth.h
@@ -1,4 +1,4 @@
-// Which upstreams are left alone for a while, from what requests saw of them. Nothing is probed:
+// Which upstreams are ejected for a while, from what requests saw of them. Nothing is probed:
 // after a growing pause an upstream gets requests again, and one good answer clears it.
 #pragma once
 
@@ -19,10 +19,10 @@
 
 // All times in milliseconds.
 struct HealthSettings {
-    Millis firstPause = 1000;
-    Millis mostPause = 8000;
+    Millis firstEjection = 1000;
+    Millis maxEjection = 8000;
     Millis memory = 5000;        // Answers older than this fade out of the failure share.
-    double failedShare = 0.4;    // Above this share of failures an upstream is left alone,
+    double failedShare = 0.4;    // Above this share of failures an upstream is ejected,
     double leastFailures = 4.0;  // once it has shown about so many.
     int leastSilent = 2;         // Silent answers in a row that have the same effect.
 };
@@ -32,13 +32,13 @@
 public:
     explicit UpstreamHealth(const HealthSettings& settings) : m_settings(settings) {}
 
-    // Takes in what a request saw that was sent at `sent`; true if the upstream is left alone from
+    // Takes in what a request saw that was sent at `sent`; true if the upstream is ejected from
     // now on. Silence proves nothing while the upstream answered others since.
     // Preconditions: sent <= now, which does not fall.
     bool note(const std::string& upstream, UpstreamSign sign, MonoTime sent, MonoTime now);
 
     // Whether the upstream gets no work at `now`. Preconditions: as above.
-    bool leftAlone(const std::string& upstream, MonoTime now) const;
+    bool isEjected(const std::string& upstream, MonoTime now) const;
 
     // Forgets an upstream that is gone. Preconditions: none.
     void forget(const std::string& upstream) { m_records.erase(upstream); }
@@ -55,7 +55,7 @@
     };
 
     void fade(Record& record, MonoTime now) const;
-    bool leaveAlone(Record& record, MonoTime now) const;
+    bool eject(Record& record, MonoTime now) const;
 
     HealthSettings m_settings;
     std::map<std::string, Record> m_records;
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -46,7 +46,7 @@
     kCallerBad = 2003,
     kAttemptStarted = 2004,
     kUpstreamChanged = 2100,
-    kUpstreamLeftAlone = 2101,
+    kUpstreamEjected = 2101,
     kObjectBad = 2102,
     kUpstreamsListed = 2103,
     kStoreDown = 2200,
--- a/include/placement/PromptAffinity.h
+++ b/include/placement/PromptAffinity.h
@@ -17,9 +17,9 @@
 struct PlacementCandidate {
     std::string_view id;
     bool sameZone = false;
-    bool leftAlone = false;  // See UpstreamHealth.
-    int ownInFlight = 0;     // This box's requests there.
-    int totalLoad = 0;       // All boxes' requests there, as far as this box can tell.
+    bool ejected = false;  // See UpstreamHealth.
+    int ownInFlight = 0;   // This box's requests there.
+    int totalLoad = 0;     // All boxes' requests there, as far as this box can tell.
     int slots = 1;
 };
 
@@ -44,7 +44,7 @@
 using PlacementPolicy =
     std::variant<AffinityPolicy, ZoneFirstPolicy, LeastInFlightPolicy, RandomPolicy>;
 
-// Index of the chosen one among `candidates`, or -1 if there is none. Those left alone are passed
+// Index of the chosen one among `candidates`, or -1 if there is none. Those ejected are passed
 // over unless nothing else is there. `key`: hash of the prompt's shared part; requests without one
 // give `point`, which is any number of the request's own, such as a random one.
 // Preconditions: none. Thread safety: any thread.
--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -14,7 +14,7 @@
 // Not thread safe: one task owns it.
 class UpstreamLoads {
 public:
-    static constexpr Millis kWitnessAge = 1000;  // What an answer told counts for this long.
+    static constexpr Millis kReportAge = 1000;  // What an answer told counts for this long.
 
     // Counts a request that is sent to `upstream`. Preconditions: none.
     void enter(const std::string& upstream) { ++m_records[upstream].own; }
@@ -28,11 +28,11 @@
     }
 
     // Takes in the load that an answer told. Preconditions: none.
-    void witness(const std::string& upstream, int load, MonoTime now) {
+    void noteReportedLoad(const std::string& upstream, int load, MonoTime now) {
         Record& record = m_records[upstream];
         record.foreign = std::max(0, load - record.own);
-        record.witnessedAt = now;
-        record.witnessed = true;
+        record.reportedAt = now;
+        record.reported = true;
     }
 
     // This box's requests there. Preconditions: none.
@@ -48,7 +48,7 @@
             return 0;
         }
         const Record& record = it->second;
-        const bool fresh = record.witnessed && now - record.witnessedAt <= kWitnessAge;
+        const bool fresh = record.reported && now - record.reportedAt <= kReportAge;
         return record.own + (fresh ? record.foreign : 0);
     }
 
@@ -76,8 +76,8 @@
     struct Record {
         int own = 0;
         int foreign = 0;
-        bool witnessed = false;
-        MonoTime witnessedAt;
+        bool reported = false;
+        MonoTime reportedAt;
     };
 
     std::map<std::string, Record> m_records;
--- a/include/relay/RequestState.h
+++ b/include/relay/RequestState.h
@@ -43,7 +43,7 @@
 enum class NextStep : uint8_t {
     kDeliver,    // Give the caller the upstream's answer.
     kSendAgain,  // Send it to another upstream.
-    kRefuse,     // Tell the caller that it did not run, and when to come back.
+    kRefuse,     // Tell the caller that it did not run, and when to retry.
     kFail,       // Tell the caller that nothing can be said.
     kBreak,      // End the caller's stream so that it is seen to be broken.
 };
@@ -52,7 +52,7 @@
 struct RequestRules {
     bool repeatable = false;
     bool resumable = false;
-    int mostSends = 1;
+    int maxAttempts = 1;
     int mostUnsent = 4;  // Connections that may fail before the request is refused.
 };
 
--- a/include/routing/Catalog.h
+++ b/include/routing/Catalog.h
@@ -35,7 +35,7 @@
     Millis timeout = 30000;   // Longest that a request is held.
     Millis objective = 1000;  // The answer (streams: the first event) is wanted within this.
     int priority = 5;         // 0 is the most urgent.
-    int mostSends = 1;        // Upstreams that one request may be sent to.
+    int maxAttempts = 1;      // Upstreams that one request may be sent to.
 };
 
 // What is known of a service besides its upstreams.
--- a/src/freshness/PeerKnowledge.cpp
+++ b/src/freshness/PeerKnowledge.cpp
@@ -32,7 +32,7 @@
 
 std::optional<uint64_t> PeerKnowledge::startFetch(MonoTime now) {
     const auto underWay = m_fetch ? m_asked.find(*m_fetch) : m_asked.end();
-    if (underWay != m_asked.end() && now - underWay->second < kFetchPatience) {
+    if (underWay != m_asked.end() && now - underWay->second < kFetchTimeout) {
         return std::nullopt;
     }
     m_fetch = ask(now);
--- a/src/gateway/AnswerRelay.cpp
+++ b/src/gateway/AnswerRelay.cpp
@@ -48,15 +48,15 @@
 }  // namespace
 
 Task<RelayEnd> AnswerRelay::relay(UpstreamExchange& exchange, bool stream, MonoTime until,
-                                  const RelayPatience& patience) {
+                                  const ReadDeadlines& deadlines) {
     const SendEnd judged = JudgeHead(exchange);
     const auto kind = http::to_status_class(exchange.head().result());
     const bool large = exchange.length().value_or(0) > kWholeAnswerBytes;
     const bool events = stream && kind == http::status_class::successful;
     if (judged == SendEnd::kAnswered && (events || large)) {
-        co_return co_await relayPieces(exchange, patience);
+        co_return co_await relayPieces(exchange, deadlines);
     }
-    const MonoTime bodyUntil = std::max(until, patience.next());
+    const MonoTime bodyUntil = std::max(until, deadlines.next());
     co_return co_await relayWhole(exchange, judged, bodyUntil);
 }
 
@@ -85,13 +85,14 @@
 }
 
 // Passes a stream on, event by event. Only whole events go to the caller, each once.
-Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange, const RelayPatience& patience) {
+Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange,
+                                        const ReadDeadlines& deadlines) {
     const std::string_view type = exchange.head()[http::field::content_type];
     const bool events = type.starts_with("text/event-stream");
     EventStream stream;
     std::string piece;
     while (true) {
-        const MonoTime until = m_headSent ? patience.next() : patience.first();
+        const MonoTime until = m_headSent ? deadlines.next() : deadlines.first();
         const AnswerRead end = co_await exchange.read(piece, until);
         if (end == AnswerRead::kComplete && stream.rest().empty()) {
             const bool begun = m_headSent || co_await sendHead(exchange.head());
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -15,10 +15,10 @@
 namespace {
 
 constexpr Millis kLeastSend = 20;  // With less time left, nothing is sent any more.
-constexpr Millis kComeBackSoon = 200;
+constexpr Millis kRetryAfterSoon = 200;
 
-Refusal RefusalOf(http::status status, std::string reason, std::optional<Millis> comeBack) {
-    return {static_cast<unsigned>(status), std::move(reason), comeBack};
+Refusal RefusalOf(http::status status, std::string reason, std::optional<Millis> retryAfter) {
+    return {static_cast<unsigned>(status), std::move(reason), retryAfter};
 }
 
 }  // namespace
@@ -62,12 +62,8 @@
 // Asked again before each send, so that a request that waited is not handled by what is no longer
 // in force. A refusal leaves the decision before it as it is.
 std::optional<Refusal> RelayedRequest::decide() {
-    const RouteQuestion question{m_message[http::field::host],
-                                 m_message.target(),
-                                 m_facts.key,
-                                 m_facts.patience,
-                                 m_arrived,
-                                 m_point};
+    const RouteQuestion question{m_message[http::field::host], m_message.target(), m_facts.key,
+                                 m_facts.clientTimeout,        m_arrived,          m_point};
     auto decided = DecideRoute(m_state, question, ReadClocks().mono);
     if (auto* refusal = std::get_if<Refusal>(&decided)) {
         return std::move(*refusal);
@@ -79,7 +75,7 @@
         RequestRules rules;
         rules.repeatable = m_decision.route->repeatable;
         rules.resumable = m_decision.route->resumable;
-        rules.mostSends = m_decision.route->mostSends;
+        rules.maxAttempts = m_decision.route->maxAttempts;
         m_sends = RequestState(rules);
     }
     return std::nullopt;
@@ -172,7 +168,7 @@
 }
 
 bool RelayedRequest::isLastSend(bool mayRepeat) const {
-    return !mayRepeat || m_sends.sends() + 1 >= m_decision.route->mostSends;
+    return !mayRepeat || m_sends.sends() + 1 >= m_decision.route->maxAttempts;
 }
 
 // Until when the first byte of an answer is waited for, if the request may go elsewhere.
@@ -241,11 +237,12 @@
         m_state.caches.note(m_facts.sharedParts, choice.upstream.id, ReadClocks().mono);
     }
     if (exchange.facts().load) {
-        m_state.loads.witness(choice.upstream.id, *exchange.facts().load, ReadClocks().mono);
+        m_state.loads.noteReportedLoad(choice.upstream.id, *exchange.facts().load,
+                                       ReadClocks().mono);
     }
-    const RelayPatience patience{[this] { return firstAnswerUntil(); },
-                                 [this] { return nextPieceUntil(); }};
-    co_return co_await m_relay->relay(exchange, route.stream, until, patience);
+    const ReadDeadlines deadlines{[this] { return firstAnswerUntil(); },
+                                  [this] { return nextPieceUntil(); }};
+    co_return co_await m_relay->relay(exchange, route.stream, until, deadlines);
 }
 
 void RelayedRequest::noteSend(const UpstreamExchange& exchange, const RelayEnd& sent,
@@ -258,7 +255,7 @@
         // Bytes sent on a kept connection may have arrived, those of a connection that does not
         // open have not: the request that tries this upstream next can still go elsewhere.
         m_state.pool.drop(upstream.id);
-        logEvent(Event::kUpstreamLeftAlone, {{"upstream", upstream.id}, {"after", end}});
+        logEvent(Event::kUpstreamEjected, {{"upstream", upstream.id}, {"after", end}});
     }
     m_state.metrics.count("onyx_send_ends_total", {{"end", end}});
     if (sent.end != SendEnd::kAnswered) {
@@ -290,7 +287,7 @@
     Refusal refusal;
     if (step == NextStep::kRefuse) {
         refusal = RefusalOf(http::status::service_unavailable, "no upstream took the request",
-                            kComeBackSoon);
+                            kRetryAfterSoon);
     } else {
         const auto status = m_timedOut ? http::status::gateway_timeout : http::status::bad_gateway;
         refusal = RefusalOf(status, "the request may have run", std::nullopt);
@@ -303,8 +300,8 @@
     if (!m_facts.id.empty()) {
         m_state.dialect.markAnswer(fields, m_facts.id);
     }
-    if (refusal.comeBack) {
-        const auto [name, value] = m_state.dialect.comeBack(*refusal.comeBack);
+    if (refusal.retryAfter) {
+        const auto [name, value] = m_state.dialect.retryAfter(*refusal.retryAfter);
         fields.set(name, value);
     }
     const bool close = m_state.leaving || !m_message.keep_alive();
--- a/src/gateway/RouteDecision.cpp
+++ b/src/gateway/RouteDecision.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-constexpr Millis kComeBackLater = 500;
+constexpr Millis kRetryAfterLater = 500;
 
 Refusal NotKnown(std::string reason) {
-    return {static_cast<unsigned>(status::service_unavailable), std::move(reason), kComeBackLater};
+    return {static_cast<unsigned>(status::service_unavailable), std::move(reason),
+            kRetryAfterLater};
 }
 
 Refusal NotAllowed(status answer, std::string reason) {
@@ -56,8 +57,8 @@
     }
     decision.service = PickService(*route, question.servicePoint);
     decision.spec = decision.catalog->findService(decision.service);
-    const Millis patience = question.patience.value_or(route->timeout);
-    decision.until = question.arrived + std::min(patience, route->timeout);
+    const Millis clientTimeout = question.clientTimeout.value_or(route->timeout);
+    decision.until = question.arrived + std::min(clientTimeout, route->timeout);
     return decision;
 }
 
--- a/src/gateway/UpstreamChoice.cpp
+++ b/src/gateway/UpstreamChoice.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 // The upstreams that take work: those not tried, or all if all were.
-std::vector<const Upstream*> Takers(const GatewayState& state, const ServiceId& service,
-                                    const std::set<std::string>& tried) {
+std::vector<const Upstream*> EligibleUpstreams(const GatewayState& state, const ServiceId& service,
+                                               const std::set<std::string>& tried) {
     const std::vector<const Upstream*> all = state.upstreams.takingWork(service);
     std::vector<const Upstream*> untried;
     std::copy_if(all.begin(), all.end(), std::back_inserter(untried),
@@ -22,7 +22,7 @@
     PlacementCandidate candidate;
     candidate.id = upstream.id;
     candidate.sameZone = upstream.zone.value == state.settings.zone;
-    candidate.leftAlone = state.health.leftAlone(upstream.id, now);
+    candidate.ejected = state.health.isEjected(upstream.id, now);
     candidate.ownInFlight = state.loads.own(upstream.id);
     candidate.totalLoad = std::max(state.loads.total(upstream.id, now),
                                    candidate.ownInFlight + state.peerCounts.at(upstream.id));
@@ -49,7 +49,7 @@
             continue;
         }
         const bool settled = now - entry.since >= GatewayState::kSettled;
-        candidates.push_back({id, !state.health.leftAlone(id, now), settled});
+        candidates.push_back({id, !state.health.isEjected(id, now), settled});
         upstreams.push_back(&entry.upstream);
     }
     const int source = state.caches.source(sharedParts, chosen.id, candidates, now);
@@ -61,10 +61,10 @@
 std::optional<UpstreamChoice> ChooseNextUpstream(const GatewayState& state,
                                                  const RouteDecision& decision,
                                                  const UpstreamQuestion& question, MonoTime now) {
-    const auto takers = Takers(state, decision.service, question.tried);
+    const auto eligible = EligibleUpstreams(state, decision.service, question.tried);
     std::vector<PlacementCandidate> candidates;
-    candidates.reserve(takers.size());
-    for (const Upstream* upstream : takers) {
+    candidates.reserve(eligible.size());
+    for (const Upstream* upstream : eligible) {
         candidates.push_back(CandidateOf(state, *upstream, now));
     }
     const bool model = decision.spec != nullptr && decision.spec->model;
@@ -75,7 +75,7 @@
     if (chosen < 0) {
         return std::nullopt;
     }
-    UpstreamChoice choice{*takers[chosen], std::nullopt,
+    UpstreamChoice choice{*eligible[chosen], std::nullopt,
                           ExplainPlacement(policy, candidates, key, chosen)};
     if (decision.spec != nullptr && decision.spec->fetchesCache) {
         choice.cacheSource =
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -13,9 +13,9 @@
     record.seen = now;
 }
 
-bool UpstreamHealth::leaveAlone(Record& record, MonoTime now) const {
-    record.pause = record.pause == 0 ? m_settings.firstPause
-                                     : std::min(m_settings.mostPause, record.pause * 2);
+bool UpstreamHealth::eject(Record& record, MonoTime now) const {
+    record.pause = record.pause == 0 ? m_settings.firstEjection
+                                     : std::min(m_settings.maxEjection, record.pause * 2);
     record.until = now + record.pause;
     record.answered = 0;
     record.failed = 0;
@@ -45,19 +45,19 @@
     }
     record.failed += 1;
     if (sign == UpstreamSign::kUnreachable) {
-        return leaveAlone(record, now);
+        return eject(record, now);
     }
     if (sign == UpstreamSign::kSilent && ++record.silentInARow >= m_settings.leastSilent) {
-        return leaveAlone(record, now);
+        return eject(record, now);
     }
     const double share = record.failed / (record.failed + record.answered);
     if (record.failed > m_settings.leastFailures - 0.5 && share > m_settings.failedShare) {
-        return leaveAlone(record, now);
+        return eject(record, now);
     }
     return false;
 }
 
-bool UpstreamHealth::leftAlone(const std::string& upstream, MonoTime now) const {
+bool UpstreamHealth::isEjected(const std::string& upstream, MonoTime now) const {
     const auto it = m_records.find(upstream);
     return it != m_records.end() && now < it->second.until;
 }
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -79,8 +79,8 @@
             return "caller-bad";
         case Event::kUpstreamChanged:
             return "upstream-changed";
-        case Event::kUpstreamLeftAlone:
-            return "upstream-left-alone";
+        case Event::kUpstreamEjected:
+            return "upstream-ejected";
         case Event::kObjectBad:
             return "object-bad";
         case Event::kUpstreamsListed:
--- a/src/placement/PromptAffinity.cpp
+++ b/src/placement/PromptAffinity.cpp
@@ -18,13 +18,13 @@
     return std::max(candidate.ownInFlight, candidate.totalLoad);
 }
 
-// The candidates that count: those not left alone, or all if there are no others.
+// The candidates that count: those not ejected, or all if there are no others.
 std::vector<int> Usable(std::span<const PlacementCandidate> candidates) {
     std::vector<int> all(candidates.size());
     std::iota(all.begin(), all.end(), 0);
     std::vector<int> sound;
     std::copy_if(all.begin(), all.end(), std::back_inserter(sound),
-                 [&](int i) { return !candidates[i].leftAlone; });
+                 [&](int i) { return !candidates[i].ejected; });
     return sound.empty() ? all : sound;
 }
 
@@ -136,7 +136,7 @@
     if (preferred->id == candidates[chosen].id) {
         return PlacementReason::kPreferred;
     }
-    return preferred->leftAlone ? PlacementReason::kPreferredEjected : PlacementReason::kOverflow;
+    return preferred->ejected ? PlacementReason::kPreferredEjected : PlacementReason::kOverflow;
 }
 
 int ChooseUpstream(const PlacementPolicy& policy, std::span<const PlacementCandidate> candidates,
--- a/src/relay/RequestState.cpp
+++ b/src/relay/RequestState.cpp
@@ -15,7 +15,7 @@
     if (!facts.timeLeft) {
         return false;
     }
-    if (m_unsent >= m_rules.mostUnsent || m_sends >= m_rules.mostSends) {
+    if (m_unsent >= m_rules.mostUnsent || m_sends >= m_rules.maxAttempts) {
         return false;
     }
     if (end == SendEnd::kStreamBroken) {
--- a/src/routing/Catalog.cpp
+++ b/src/routing/Catalog.cpp
@@ -33,7 +33,7 @@
     if (route.services.empty()) {
         return BadRoute(route, "services: expected at least one");
     }
-    if (route.timeout <= 0 || route.mostSends <= 0) {
+    if (route.timeout <= 0 || route.maxAttempts <= 0) {
         return BadRoute(route, "timeout and sends: expected more than 0");
     }
     return true;
--- a/tests/FreshnessTest.cpp
+++ b/tests/FreshnessTest.cpp
@@ -103,10 +103,10 @@
     const auto second = peers.startFetch({1003});
     REQUIRE(second.has_value());
     // A box that does not answer is given up on.
-    const auto third = peers.startFetch({1003 + PeerKnowledge::kFetchPatience});
+    const auto third = peers.startFetch({1003 + PeerKnowledge::kFetchTimeout});
     REQUIRE(third.has_value());
     peers.endFetch(*second);
-    CHECK_FALSE(peers.startFetch({1004 + PeerKnowledge::kFetchPatience}).has_value());
+    CHECK_FALSE(peers.startFetch({1004 + PeerKnowledge::kFetchTimeout}).has_value());
 }
 
 TEST_CASE("Of many boxes some are asked in each round, and all in turn") {
--- a/tests/PromptAffinityTest.cpp
+++ b/tests/PromptAffinityTest.cpp
@@ -86,16 +86,16 @@
     CHECK(kept(drawn, 30) == 0);
 }
 
-TEST_CASE("Upstreams left alone are passed over unless nothing else is there") {
+TEST_CASE("Upstreams ejected are passed over unless nothing else is there") {
     auto candidates = Candidates();
     for (auto& candidate : candidates) {
-        candidate.leftAlone = candidate.id != "c";
+        candidate.ejected = candidate.id != "c";
     }
     const PlacementPolicy policy =
         GENERATE(PlacementPolicy(AffinityPolicy{}), PlacementPolicy(ZoneFirstPolicy{}),
                  PlacementPolicy(LeastInFlightPolicy{}), PlacementPolicy(RandomPolicy{}));
     CHECK(ChooseUpstream(policy, candidates, 3, 3) == 2);
-    candidates[2].leftAlone = true;
+    candidates[2].ejected = true;
     CHECK(ChooseUpstream(policy, candidates, 3, 3) >= 0);
     CHECK(ChooseUpstream(policy, {}, 3, 3) == -1);
 }
@@ -110,7 +110,7 @@
     CHECK(reason() == PlacementReason::kPreferred);
     candidates[preferred].totalLoad = 50;
     CHECK(reason() == PlacementReason::kOverflow);
-    candidates[preferred].leftAlone = true;
+    candidates[preferred].ejected = true;
     CHECK(reason() == PlacementReason::kPreferredEjected);
     candidates[0].sameZone = true;
     CHECK(ExplainPlacement(ZoneFirstPolicy{}, candidates, 7, 0) == PlacementReason::kSameZone);
@@ -278,11 +278,11 @@
     UpstreamLoads loads;
     loads.enter("a");
     loads.enter("a");
-    loads.witness("a", 5, {0});
+    loads.noteReportedLoad("a", 5, {0});
     loads.leave("a");
     CHECK(loads.own("a") == 1);
     CHECK(loads.total("a", {500}) == 4);
-    CHECK(loads.total("a", {UpstreamLoads::kWitnessAge + 1}) == 1);
+    CHECK(loads.total("a", {UpstreamLoads::kReportAge + 1}) == 1);
     loads.forget("a");
     CHECK(loads.own("a") == 1);
     loads.leave("a");
--- a/tests/RequestStateTest.cpp
+++ b/tests/RequestStateTest.cpp
@@ -68,7 +68,7 @@
             sends += end == SendEnd::kNotSent || end == SendEnd::kMisdirected ? 0 : 1;
             mayHaveRun = mayHaveRun || MayHaveRun(end);
         }
-        CHECK(sends <= rules.mostSends);
+        CHECK(sends <= rules.maxAttempts);
         CHECK((step != NextStep::kRefuse || !mayHaveRun));
     });
 }
--- a/tests/SendSignTest.cpp
+++ b/tests/SendSignTest.cpp
@@ -5,11 +5,11 @@
 
 using namespace onyx;
 
-TEST_CASE("A send over a way that is cut has its upstream left alone at once, silence does not") {
+TEST_CASE("A send over a way that is cut has its upstream ejected at once, silence does not") {
     for (const SendEnd end : {SendEnd::kUnclear, SendEnd::kStreamBroken}) {
         UpstreamHealth cut{HealthSettings()};
         CHECK(cut.note("u", *SignOfSend(end, true), {0}, {700}));
-        CHECK(cut.leftAlone("u", {701}));
+        CHECK(cut.isEjected("u", {701}));
         UpstreamHealth silent{HealthSettings()};
         CHECK_FALSE(silent.note("u", *SignOfSend(end, false), {0}, {700}));
     }
--- a/tests/UpstreamHealthTest.cpp
+++ b/tests/UpstreamHealthTest.cpp
@@ -10,17 +10,17 @@
 
 }  // namespace
 
-TEST_CASE("An unreachable upstream is left alone, for longer each time, until it answers") {
+TEST_CASE("An unreachable upstream is ejected, for longer each time, until it answers") {
     UpstreamHealth health{HealthSettings{}};
     CHECK(health.note(kUpstream, UpstreamSign::kUnreachable, {0}, {0}));
-    CHECK(health.leftAlone(kUpstream, {999}));
-    CHECK_FALSE(health.leftAlone(kUpstream, {1000}));
+    CHECK(health.isEjected(kUpstream, {999}));
+    CHECK_FALSE(health.isEjected(kUpstream, {1000}));
     CHECK(health.note(kUpstream, UpstreamSign::kUnreachable, {1000}, {1000}));
-    CHECK(health.leftAlone(kUpstream, {2999}));
-    CHECK_FALSE(health.leftAlone(kUpstream, {3000}));
+    CHECK(health.isEjected(kUpstream, {2999}));
+    CHECK_FALSE(health.isEjected(kUpstream, {3000}));
     health.note(kUpstream, UpstreamSign::kAnswered, {3000}, {3010});
     CHECK(health.note(kUpstream, UpstreamSign::kUnreachable, {3020}, {3020}));
-    CHECK_FALSE(health.leftAlone(kUpstream, {4020}));
+    CHECK_FALSE(health.isEjected(kUpstream, {4020}));
 }
 
 TEST_CASE("Two silent requests in a row leave an upstream alone, an answer between them does not") {
@@ -39,21 +39,21 @@
         health.note(kUpstream, UpstreamSign::kAnswered, sent, sent + 200);
         CHECK_FALSE(health.note(kUpstream, UpstreamSign::kSilent, sent, sent + 400));
     }
-    CHECK_FALSE(health.leftAlone(kUpstream, {10000}));
+    CHECK_FALSE(health.isEjected(kUpstream, {10000}));
 }
 
 TEST_CASE("A share of failures above the bound leaves an upstream alone, a lower one does not") {
     UpstreamHealth health{HealthSettings{}};
-    bool leftAlone = false;
+    bool ejected = false;
     for (int i = 0; i < 40; ++i) {
         const auto sign = i % 5 == 0 ? UpstreamSign::kFailed : UpstreamSign::kAnswered;
-        leftAlone = health.note(kUpstream, sign, {i * 10}, {i * 10}) || leftAlone;
+        ejected = health.note(kUpstream, sign, {i * 10}, {i * 10}) || ejected;
     }
-    CHECK_FALSE(leftAlone);
+    CHECK_FALSE(ejected);
     for (int i = 40; i < 80; ++i) {
-        leftAlone = health.note(kUpstream, UpstreamSign::kFailed, {i * 10}, {i * 10}) || leftAlone;
+        ejected = health.note(kUpstream, UpstreamSign::kFailed, {i * 10}, {i * 10}) || ejected;
     }
-    CHECK(leftAlone);
+    CHECK(ejected);
 }
 
 TEST_CASE("Requests from before the pause do not lengthen it") {
@@ -62,5 +62,5 @@
     for (int i = 0; i < 5; ++i) {
         CHECK_FALSE(health.note(kUpstream, UpstreamSign::kUnreachable, {0}, {10}));
     }
-    CHECK_FALSE(health.leftAlone(kUpstream, {1000}));
+    CHECK_FALSE(health.isEjected(kUpstream, {1000}));
 }
