Log what an attempt's connection was, who ended it and what was unacknowledged then

Cause: of a request that reached an upstream 6 s after it was given up, the log told the time of its attempts, not whether bytes of them were still on their way. Now 2002 tells whether the connection was new or kept and how long it had rested, who ended it, and the bytes that the upstream's machine had not acknowledged (SIOCOUTQ; unknown where the socket was closed before).

No logic is changed.

--- a/include/gateway/RelayedRequest.h
+++ b/include/gateway/RelayedRequest.h
@@ -43,6 +43,7 @@
     MonoTime firstAnswerUntil() const;
     MonoTime nextPieceUntil() const;
     void noteSend(const UpstreamExchange& exchange, const RelayEnd& sent, MonoTime start);
+    void logSendEnd(const UpstreamExchange& exchange, const RelayEnd& sent, Millis took) const;
     Task<AfterAnswer> conclude(NextStep step);
     Task<AfterAnswer> answerRefusal(const Refusal& refusal);
     AfterAnswer afterAnswer() const;
--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace onyx {
 
@@ -22,6 +23,38 @@
     kBroken,  // The connection ended, or what came is no answer.
 };
 
+// Who ended an attempt's connection.
+enum class ConnectionEnd : uint8_t {
+    kNone,    // Nobody: there was none, or it is kept for another request.
+    kReset,   // This box.
+    kSystem,  // This box's system: nothing came back from the upstream's machine.
+    kPeer,    // The upstream, or its machine.
+};
+
+// Name of `end` in logs. Thread safety: any thread.
+constexpr std::string_view ConnectionEndName(ConnectionEnd end) {
+    switch (end) {
+        case ConnectionEnd::kNone:
+            return "none";
+        case ConnectionEnd::kReset:
+            return "this-box";
+        case ConnectionEnd::kSystem:
+            return "system";
+        case ConnectionEnd::kPeer:
+            return "upstream";
+    }
+    return "";
+}
+
+// What an attempt's connection was and how it ended: says whether bytes of a request that was given
+// up may still be on their way.
+struct ConnectionReport {
+    bool kept = false;  // It was taken from the pool, not opened for this attempt.
+    Millis rested = 0;  // There, since its last answer.
+    std::optional<size_t> unacknowledged;  // Bytes, at its end; nothing if the system did not say.
+    ConnectionEnd end = ConnectionEnd::kNone;
+};
+
 // Not thread safe: one io_context, one task; cancel() may come from another task of it. Held by
 // shared_ptr, since a write may outlive the task that waits for the answer.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
@@ -56,6 +89,8 @@
     // Whether the upstream's machine stopped taking bytes or answering keep-alive questions: the
     // way there is cut, whatever became of the request. Preconditions: none.
     bool unreachable() const { return m_unreachable; }
+    // What the connection was and how it ended. Preconditions: finish() was called.
+    const ConnectionReport& connection() const { return m_report; }
     // Whether the answer's length is told by its head. Preconditions: as for head().
     std::optional<uint64_t> length() const;
 
@@ -67,6 +102,7 @@
     Task<AnswerRead> skipBody(MonoTime until);
     AnswerRead endOf(const boost::system::error_code& ec);
     bool isOurs() const;
+    void noteEnd(ConnectionEnd end);
 
     GatewayState& m_state;
     Upstream m_upstream;
@@ -74,7 +110,7 @@
     std::shared_ptr<UpstreamConnection> m_connection;
     std::unique_ptr<Parser> m_parser;
     UpstreamFacts m_facts;
-    bool m_reused = false;
+    ConnectionReport m_report;
     bool m_written = false;
     bool m_cancelled = false;
     bool m_spoiled = false;  // Something unexpected came on the connection.
--- a/include/net/SocketTools.h
+++ b/include/net/SocketTools.h
@@ -3,6 +3,9 @@
 
 #include "include/net/Net.h"
 
+#include <cstddef>
+#include <optional>
+
 namespace onyx {
 
 // Ends the connection when bytes stay unacknowledged for `timeout`. A system that does not take the
@@ -19,6 +22,10 @@
 // peer sees at once that nobody waits. Preconditions: the socket is open. Thread safety as above.
 void SetResetOnClose(Tcp::socket& socket);
 
+// Bytes that were written and that the peer's system has not acknowledged yet, unsent ones
+// included; nothing if this system does not say, or the socket is closed. Thread safety as above.
+std::optional<size_t> UnacknowledgedBytes(Tcp::socket& socket);
+
 // What a look at a socket finds.
 enum class SocketPeek : uint8_t {
     kQuiet,     // Nothing came.
--- a/src/gateway/RelayedRequest.cpp
+++ b/src/gateway/RelayedRequest.cpp
@@ -259,15 +259,26 @@
     }
     m_state.metrics.count("onyx_send_ends_total", {{"end", end}});
     if (sent.end != SendEnd::kAnswered) {
-        logEvent(Event::kSendEnded, {{"request", m_facts.id},
-                                     {"upstream", upstream.id},
-                                     {"end", end},
-                                     {"timed_out", sent.timedOut ? "yes" : "no"},
-                                     {"unreachable", exchange.unreachable() ? "yes" : "no"},
-                                     {"took_ms", std::to_string(now - start)}});
+        logSendEnd(exchange, sent, now - start);
     }
 }
 
+void RelayedRequest::logSendEnd(const UpstreamExchange& exchange, const RelayEnd& sent,
+                                Millis took) const {
+    const ConnectionReport& connection = exchange.connection();
+    const auto& bytes = connection.unacknowledged;
+    logEvent(Event::kSendEnded, {{"request", m_facts.id},
+                                 {"upstream", exchange.upstream().id},
+                                 {"end", std::string(SendEndName(sent.end))},
+                                 {"timed_out", sent.timedOut ? "yes" : "no"},
+                                 {"unreachable", exchange.unreachable() ? "yes" : "no"},
+                                 {"took_ms", std::to_string(took)},
+                                 {"connection", connection.kept ? "kept" : "new"},
+                                 {"rested_ms", std::to_string(connection.rested)},
+                                 {"ended_by", std::string(ConnectionEndName(connection.end))},
+                                 {"unacknowledged", bytes ? std::to_string(*bytes) : "unknown"}});
+}
+
 AfterAnswer RelayedRequest::afterAnswer() const {
     return m_message.keep_alive() && !m_state.leaving ? AfterAnswer::kKeep : AfterAnswer::kClose;
 }
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -45,9 +45,11 @@
     : m_state(state), m_upstream(std::move(upstream)), m_requestId(std::move(requestId)) {}
 
 Task<Result<bool>> UpstreamExchange::connect(Millis mostRest, const AttemptBounds& bounds) {
-    m_connection = m_state.pool.take(m_upstream.id, mostRest, ReadClocks().mono);
+    const MonoTime now = ReadClocks().mono;
+    m_connection = m_state.pool.take(m_upstream.id, mostRest, now);
     if (m_connection) {
-        m_reused = true;
+        m_report.kept = true;
+        m_report.rested = now - m_connection->lastUsed;
         SetUserTimeout(m_connection->stream.socket(), bounds.unacknowledged);
         co_return true;
     }
@@ -106,7 +108,7 @@
     if (head().result_int() < kFirstFinalStatus) {
         return false;
     }
-    return m_facts.id == m_requestId || (m_facts.id.empty() && m_facts.declined && !m_reused);
+    return m_facts.id == m_requestId || (m_facts.id.empty() && m_facts.declined && !m_report.kept);
 }
 
 Task<AnswerRead> UpstreamExchange::readHead(MonoTime until) {
@@ -132,6 +134,10 @@
     m_spoiled = true;
     // The system's own word, from AttemptBounds or keep-alive questions; Beast's is another.
     m_unreachable = ec == asio::error::timed_out;
+    const bool byUs = ec == beast::error::timeout;
+    noteEnd(m_unreachable ? ConnectionEnd::kSystem
+            : byUs        ? ConnectionEnd::kReset
+                          : ConnectionEnd::kPeer);
     return ec == beast::error::timeout ? AnswerRead::kTimeout : AnswerRead::kBroken;
 }
 
@@ -173,9 +179,19 @@
     return told ? std::optional<uint64_t>(*told) : std::nullopt;
 }
 
+// The first end counts: a connection that has ended is closed afterwards too.
+void UpstreamExchange::noteEnd(ConnectionEnd end) {
+    if (m_report.end != ConnectionEnd::kNone) {
+        return;
+    }
+    m_report.end = end;
+    m_report.unacknowledged = UnacknowledgedBytes(m_connection->stream.socket());
+}
+
 void UpstreamExchange::cancel() {
     m_cancelled = true;
     if (m_connection) {
+        noteEnd(ConnectionEnd::kReset);
         m_connection->stream.close();
     }
 }
@@ -192,6 +208,7 @@
         m_connection->keepAlive = m_facts.keepAlive.value_or(0);
         m_state.pool.keep(m_upstream.id, std::move(m_connection), ReadClocks().mono);
     } else {
+        noteEnd(ConnectionEnd::kReset);
         m_connection->stream.close();
     }
     m_connection.reset();
--- a/src/net/SocketTools.cpp
+++ b/src/net/SocketTools.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace onyx {
 
@@ -34,6 +36,14 @@
     socket.set_option(asio::socket_base::linger(true, 0), ec);
 }
 
+std::optional<size_t> UnacknowledgedBytes(Tcp::socket& socket) {
+    int bytes = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+        return std::nullopt;
+    }
+    return static_cast<size_t>(bytes);
+}
+
 SocketPeek PeekSocket(Tcp::socket& socket) {
     boost::system::error_code ec;
     // Through Asio, not natively: its synchronous receive waits unless Asio knows.
