--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -51,7 +51,7 @@
 struct ConnectionReport {
     bool kept = false;  // It was taken from the pool, not opened for this attempt.
     Millis rested = 0;  // There, since its last answer.
-    std::optional<size_t> unacknowledged;  // Bytes, at its end; nothing if the system did not say.
+    std::optional<size_t> unacknowledged;  // Bytes, when this box ended it; else nothing.
     ConnectionEnd end = ConnectionEnd::kNone;
 };
 
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -185,7 +185,10 @@
         return;
     }
     m_report.end = end;
-    m_report.unacknowledged = UnacknowledgedBytes(m_connection->stream.socket());
+    // The system's account of a connection that it or the peer has ended is gone.
+    if (end == ConnectionEnd::kReset) {
+        m_report.unacknowledged = UnacknowledgedBytes(m_connection->stream.socket());
+    }
 }
 
 void UpstreamExchange::cancel() {
