--- a/include/standin/FakeLink.h
+++ b/include/standin/FakeLink.h
@@ -1,5 +1,7 @@
 // Stand-in for the network between two boxes: takes connections on one address, passes the bytes
 // to another, and can be cut: then nothing passes in either direction and connections stay open.
+// What a cut holds is delivered when it is mended, also if its sender has closed its connection
+// meanwhile; if the sender has reset it, what is held is lost.
 // POST /control on its HTTP address with {"cut": true} or {"cut": false}.
 #pragma once
 
@@ -19,6 +21,11 @@
     // Lets nothing pass from now on, or everything again. Preconditions: none.
     void setCut(bool cut) { m_cut = cut; }
 
+    // Bytes that a cut holds now, and that were lost since their sender reset its connection.
+    // Preconditions: none.
+    size_t heldBytes() const { return m_held; }
+    size_t lostBytes() const { return m_lost; }
+
     // Serves a control request. Preconditions: called in a coroutine of the context.
     Task<> handle(HttpExchange& exchange);
 
@@ -26,10 +33,13 @@
     Task<> accept(Tcp::acceptor acceptor);
     Task<> serve(Tcp::socket from);
     Task<> pump(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to);
+    Task<bool> hold(Tcp::socket& from, size_t bytes);
 
     asio::io_context& m_io;
     Endpoint m_to;
     bool m_cut = false;
+    size_t m_held = 0;
+    size_t m_lost = 0;
 };
 
 }  // namespace onyx
--- a/src/standin/FakeLink.cpp
+++ b/src/standin/FakeLink.cpp
@@ -1,5 +1,6 @@
 #include "include/standin/FakeLink.h"
 
+#include "include/net/SocketTools.h"
 #include "include/observe/Events.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -68,10 +69,8 @@
     while (!ec) {
         const size_t got = co_await from->async_read_some(
             asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-        while (m_cut) {
-            co_await SleepFor(kCutStep);
-        }
-        if (!ec) {
+        const bool delivered = co_await hold(*from, got);
+        if (!ec && delivered) {
             co_await asio::async_write(*to, asio::buffer(buffer, got),
                                        asio::redirect_error(asio::use_awaitable, ec));
         }
@@ -80,6 +79,21 @@
     to->shutdown(Tcp::socket::shutdown_both, ignored);
 }
 
+// Waits for the mend of a cut; false if the sender of what is held has reset its connection.
+Task<bool> FakeLink::hold(Tcp::socket& from, size_t bytes) {
+    if (!m_cut) {
+        co_return true;
+    }
+    m_held += bytes;
+    while (m_cut) {
+        co_await SleepFor(kCutStep);
+    }
+    m_held -= bytes;
+    const bool reset = PeekSocket(from) == SocketPeek::kReset;
+    m_lost += reset ? bytes : 0;
+    co_return !reset;
+}
+
 Task<> FakeLink::handle(HttpExchange& exchange) {
     const auto body = nlohmann::json::parse(exchange.request().body(), nullptr, false);
     if (body.is_object()) {
--- /dev/null
+++ b/tests/HttpClientTest.cpp
@@ -0,0 +1,88 @@
+// The HTTP client: how it leaves a connection.
+#include "include/net/HttpClient.h"
+#include "include/net/SocketTools.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace onyx;
+
+namespace {
+
+// A server that takes one connection and answers with `answer`, or never if that is empty.
+class OneAnswerServer {
+public:
+    OneAnswerServer(asio::io_context& io, std::string answer)
+        : m_acceptor(io, Endpoint(asio::ip::address_v4::loopback(), 0)),
+          m_socket(io),
+          m_answer(std::move(answer)) {
+        m_acceptor.async_accept(m_socket, [this](const boost::system::error_code&) {
+            if (!m_answer.empty()) {
+                boost::system::error_code ec;
+                asio::write(m_socket, asio::buffer(m_answer), ec);
+            }
+        });
+    }
+
+    Endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+    // Reads what came and tells how the client ended the connection.
+    SocketPeek end() {
+        SocketPeek seen = SocketPeek::kQuiet;
+        while (seen == SocketPeek::kQuiet || seen == SocketPeek::kReadable) {
+            seen = PeekSocket(m_socket);
+            if (seen == SocketPeek::kReadable) {
+                char bytes[1024];
+                boost::system::error_code ec;
+                m_socket.read_some(asio::buffer(bytes), ec);
+            }
+        }
+        return seen;
+    }
+
+private:
+    Tcp::acceptor m_acceptor;
+    Tcp::socket m_socket;
+    std::string m_answer;
+};
+
+std::optional<Result<HttpAnswer>> Call(asio::io_context& io, const Endpoint& server,
+                                       Millis timeout) {
+    HttpClient client(io.get_executor());
+    std::optional<Result<HttpAnswer>> seen;
+    const auto call = [&]() -> Task<> {
+        HttpOutgoing request;
+        request.method = "POST";
+        request.body = "fee";
+        seen = co_await client.call(server, std::move(request), timeout);
+    };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run();
+    return seen;
+}
+
+}  // namespace
+
+TEST_CASE("A call that is given up is reset, so that nothing of it arrives later") {
+    asio::io_context io;
+    OneAnswerServer server(io, "");
+    const auto answer = Call(io, server.endpoint(), 100);
+    REQUIRE(answer.has_value());
+    CHECK(answer->has_error());
+    CHECK(server.end() == SocketPeek::kReset);
+}
+
+TEST_CASE("A call that is answered whole leaves its connection in order") {
+    asio::io_context io;
+    OneAnswerServer server(io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const auto answer = Call(io, server.endpoint(), 5000);
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->has_value());
+    CHECK(answer->value().body == "ok");
+    CHECK(server.end() == SocketPeek::kEnded);
+}
--- a/tests/SocketToolsTest.cpp
+++ b/tests/SocketToolsTest.cpp
@@ -2,6 +2,7 @@
 #include "include/net/SocketTools.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -23,6 +24,15 @@
     Tcp::socket far;
 };
 
+// What the far end sees once the near one has ended the connection.
+SocketPeek EndSeenBy(Tcp::socket& far) {
+    SocketPeek seen = SocketPeek::kQuiet;
+    while (seen == SocketPeek::kQuiet) {
+        seen = PeekSocket(far);
+    }
+    return seen;
+}
+
 }  // namespace
 
 TEST_CASE("Bytes that the peer's system has not taken are counted, and no others") {
@@ -44,3 +54,29 @@
     pair.near.close();
     CHECK_FALSE(UnacknowledgedBytes(pair.near).has_value());
 }
+
+TEST_CASE("A connection that is to be reset is reset by closing") {
+    asio::io_context io;
+    SocketPair pair(io);
+    SetResetOnClose(pair.near);
+    pair.near.close();
+    CHECK(EndSeenBy(pair.far) == SocketPeek::kReset);
+}
+
+// Asio alone takes the option off when a socket is destroyed; the streams of Beast, which all
+// connections to upstreams are, close theirs first.
+TEST_CASE("A stream that is to be reset is reset by destruction too") {
+    asio::io_context io;
+    SocketPair pair(io);
+    auto stream = std::make_unique<boost::beast::tcp_stream>(std::move(pair.near));
+    SetResetOnClose(stream->socket());
+    stream.reset();
+    CHECK(EndSeenBy(pair.far) == SocketPeek::kReset);
+}
+
+TEST_CASE("A connection without that option ends in order") {
+    asio::io_context io;
+    SocketPair pair(io);
+    pair.near.close();
+    CHECK(EndSeenBy(pair.far) == SocketPeek::kEnded);
+}
