--- a/include/base/Hash.h
+++ b/include/base/Hash.h
@@ -13,6 +13,10 @@
 // Hashes `text`. Thread safety: any thread.
 uint64_t HashText(std::string_view text);
 
+// Low half of `name`'s hash: stands for the name of an upstream or of a prompt's part in digests,
+// where a whole name would cost too much. Thread safety: any thread.
+uint32_t ShortHash(std::string_view name);
+
 // Combines two hashes; not symmetric. Thread safety: any thread.
 uint64_t HashPair(uint64_t a, uint64_t b);
 
--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "include/gateway/AttemptBounds.h"
+#include "include/gateway/ConnectionReport.h"
 #include "include/gateway/GatewayState.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,7 +12,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace onyx {
 
@@ -24,38 +24,6 @@
     kBroken,  // The connection ended, or what came is no answer.
 };
 
-// Who ended an attempt's connection.
-enum class ConnectionEnd : uint8_t {
-    kNone,    // Nobody: there was none, or it is kept for another request.
-    kReset,   // This box.
-    kSystem,  // This box's system: nothing came back from the upstream's machine.
-    kPeer,    // The upstream, or its machine.
-};
-
-// Name of `end` in logs. Thread safety: any thread.
-constexpr std::string_view ConnectionEndName(ConnectionEnd end) {
-    switch (end) {
-        case ConnectionEnd::kNone:
-            return "none";
-        case ConnectionEnd::kReset:
-            return "this-box";
-        case ConnectionEnd::kSystem:
-            return "system";
-        case ConnectionEnd::kPeer:
-            return "upstream";
-    }
-    return "";
-}
-
-// What an attempt's connection was and how it ended: says whether bytes of a request that was given
-// up may still be on their way.
-struct ConnectionReport {
-    bool kept = false;  // It was taken from the pool, not opened for this attempt.
-    Millis rested = 0;  // There, since its last answer.
-    std::optional<size_t> unacknowledged;  // Bytes, when this box ended it; else nothing.
-    ConnectionEnd end = ConnectionEnd::kNone;
-};
-
 // Not thread safe: one io_context, one task; cancel() may come from another task of it. Held by
 // shared_ptr, since a write may outlive the task that waits for the answer.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
--- a/include/placement/PeerCounts.h
+++ b/include/placement/PeerCounts.h
@@ -13,9 +13,6 @@
 
 namespace onyx {
 
-// Number that stands for an upstream in digests: the low half of its name's hash.
-uint32_t UpstreamNumber(const std::string& upstream);
-
 // Not thread safe: one task owns it.
 class PeerCounts {
 public:
--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -2,6 +2,7 @@
 // upstream's answers tell of all boxes' requests.
 #pragma once
 
+#include "include/base/Hash.h"
 #include "include/base/Time.h"
 #include "include/placement/PeerCounts.h"
 
@@ -58,7 +59,7 @@
         PeerCounts::Counts out;
         for (const auto& [upstream, record] : m_records) {
             if (record.own > 0) {
-                out.emplace_back(UpstreamNumber(upstream), record.own);
+                out.emplace_back(ShortHash(upstream), record.own);
             }
         }
         return out;
--- a/src/placement/CacheDirectory.cpp
+++ b/src/placement/CacheDirectory.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-uint32_t NumberOf(std::string_view name) {
-    return static_cast<uint32_t>(HashText(name));
-}
-
 // The settled candidate that a prompt with this last part prefers, or -1.
 int SettledPreference(std::string_view lastPart, std::span<const CacheCandidate> candidates) {
     const uint64_t key = HashText(lastPart);
@@ -58,9 +54,9 @@
 
 void CacheDirectory::note(std::span<const std::string> parts, std::string_view upstream,
                           MonoTime now) {
-    const uint32_t holder = NumberOf(upstream);
+    const uint32_t holder = ShortHash(upstream);
     for (const std::string& name : parts) {
-        const CacheNote note{NumberOf(name), holder};
+        const CacheNote note{ShortHash(name), holder};
         if (record(note, now)) {
             m_news.push_back(note);
         }
@@ -95,7 +91,7 @@
     }
     for (size_t i = 0; i < candidates.size(); ++i) {
         if (candidates[i].reachable && candidates[i].id != chosen &&
-            holds(part, NumberOf(candidates[i].id), now)) {
+            holds(part, ShortHash(candidates[i].id), now)) {
             return static_cast<int>(i);
         }
     }
@@ -107,9 +103,9 @@
     if (parts.empty()) {
         return -1;
     }
-    const uint32_t chosenNumber = NumberOf(chosen);
+    const uint32_t chosenNumber = ShortHash(chosen);
     for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        const uint32_t number = NumberOf(*part);
+        const uint32_t number = ShortHash(*part);
         if (holds(number, chosenNumber, now)) {
             return -1;
         }
--- a/src/placement/PeerCounts.cpp
+++ b/src/placement/PeerCounts.cpp
@@ -6,10 +6,6 @@
 
 namespace onyx {
 
-uint32_t UpstreamNumber(const std::string& upstream) {
-    return static_cast<uint32_t>(HashText(upstream));
-}
-
 void PeerCounts::take(const std::string& box, Counts counts, MonoTime now, Millis believed) {
     forget(box);
     for (const auto& [upstream, count] : counts) {
@@ -50,7 +46,7 @@
 }
 
 int PeerCounts::at(const std::string& upstream) const {
-    const auto it = m_sums.find(UpstreamNumber(upstream));
+    const auto it = m_sums.find(ShortHash(upstream));
     return it == m_sums.end() ? 0 : static_cast<int>(std::lround(it->second / m_share));
 }
 
--- a/tests/PromptAffinityTest.cpp
+++ b/tests/PromptAffinityTest.cpp
@@ -1,3 +1,4 @@
+#include "include/base/Hash.h"
 #include "include/placement/CacheDirectory.h"
 #include "include/placement/PeerCounts.h"
 #include "include/placement/PromptAffinity.h"
@@ -244,7 +245,7 @@
 
 TEST_CASE("Other boxes' counts add up while they are fresh") {
     PeerCounts peers;
-    const uint32_t number = UpstreamNumber("a");
+    const uint32_t number = ShortHash("a");
     peers.take("box-1", {{number, 2}}, {0}, 1000);
     peers.take("box-2", {{number, 3}}, {500}, 1000);
     peers.expire({900});
@@ -266,7 +267,7 @@
     constexpr int kHeard = 32;
     constexpr int kLoad = 42;  // Of all boxes together, half a request each.
     PeerCounts peers;
-    const uint32_t number = UpstreamNumber("a");
+    const uint32_t number = ShortHash("a");
     for (int box = 0; box < kHeard; ++box) {
         peers.take("box-" + std::to_string(box), {{number, box % 2}}, {0}, 1000);
     }
