--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -55,7 +55,7 @@
     const ResponseHead& head() const { return m_parser->get().base(); }
     const UpstreamFacts& facts() const { return m_facts; }
     const Upstream& upstream() const { return m_upstream; }
-    // Whether the upstream's machine stopped taking bytes or answering keep-alive questions: the
+    // Whether the upstream's machine stopped taking bytes or answering keep-alive probes: the
     // way there is cut, whatever became of the request. Preconditions: none.
     bool unreachable() const { return m_unreachable; }
     // What the connection was and how it ended. Preconditions: finish() was called.
@@ -71,7 +71,7 @@
     bool takeKept(Millis mostRest);
     void write(std::string message);
     void awaitDelivery();
-    void askForLife();
+    void startKeepAlive();
     bool isClean() const;
     bool rest();
     Task<AnswerRead> readHead(MonoTime until);
@@ -93,7 +93,7 @@
     bool m_cancelled = false;
     bool m_spoiled = false;  // Something unexpected came on the connection.
     bool m_unreachable = false;
-    bool m_asksForLife = false;  // Keep-alive questions are on.
+    bool m_keepAliveOn = false;  // Keep-alive probes are sent.
 };
 
 }  // namespace onyx
--- a/include/net/SocketTools.h
+++ b/include/net/SocketTools.h
@@ -13,13 +13,13 @@
 // at a time.
 boost::system::error_code SetUserTimeout(Tcp::socket& socket, Millis timeout);
 
-// Asks a silent peer for a sign of life after `idle`, and ends the connection when `count` asks, at
-// the same distance, were not answered. What was written before may still be delivered then: not
-// for connections on which a request may be under way to the peer. Errors, preconditions and thread
-// safety as above; idle in whole seconds, at least 1000.
+// Sends keep-alive probes: the first after `idle` of silence, and ends the connection when `count`
+// of them, at the same distance, were not answered. What was written before may still be delivered
+// then: not for connections on which a request may be under way to the peer. Errors, preconditions
+// and thread safety as above; idle in whole seconds, at least 1000.
 boost::system::error_code StartKeepAlive(Tcp::socket& socket, Millis idle, int count);
 
-// Asks for signs of life no more. Errors, preconditions and thread safety as above.
+// Sends no more keep-alive probes. Errors, preconditions and thread safety as above.
 boost::system::error_code StopKeepAlive(Tcp::socket& socket);
 
 // Makes the next close reset the connection, or not: with a reset, bytes that are still on their
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -20,7 +20,7 @@
 
 constexpr size_t kPieceSize = size_t{16} * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
-// Keep-alive questions that an upstream's machine does not answer end the connection, 3 s after the
+// Keep-alive probes that an upstream's machine does not answer end the connection, 3 s after the
 // way there is cut: an answer that will not come is waited for no longer.
 constexpr Millis kKeepAliveIdle = 1000;
 constexpr int kKeepAliveCount = 2;
@@ -92,12 +92,12 @@
     return true;
 }
 
-// Only a reset of this box takes back what is on its way: of a connection that keep-alive questions
+// Only a reset of this box takes back what is on its way: of a connection that keep-alive probes
 // end, the system forgets its part, and what was written may be delivered seconds later, when a cut
-// is mended and the request has long run elsewhere. So nothing is asked while a connection rests,
+// is mended and the request has long run elsewhere. So none are sent while a connection rests,
 // for it may be taken at any moment, nor until the upstream's machine has the whole request: the
 // bound on unacknowledged bytes watches that time. In 210 played days with cuts of 6 s, in which
-// upstreams leave, 9 had such late arrivals with questions at all times, none has now.
+// upstreams leave, 9 had such late arrivals with probes at all times, none has now.
 void UpstreamExchange::awaitDelivery() {
     m_delivery.expires_after(std::chrono::milliseconds(m_bounds.unacknowledged));
     m_delivery.async_wait([self = shared_from_this()](const beast::error_code& ec) {
@@ -107,15 +107,15 @@
         if (UnacknowledgedBytes(self->m_connection->stream.socket()).value_or(0) > 0) {
             self->awaitDelivery();
         } else {
-            self->askForLife();
+            self->startKeepAlive();
         }
     });
 }
 
-void UpstreamExchange::askForLife() {
+void UpstreamExchange::startKeepAlive() {
     Tcp::socket& socket = m_connection->stream.socket();
     // A connection that takes no option has ended, which the pending read tells.
-    m_asksForLife = !StartKeepAlive(socket, kKeepAliveIdle, kKeepAliveCount);
+    m_keepAliveOn = !StartKeepAlive(socket, kKeepAliveIdle, kKeepAliveCount);
 }
 
 void UpstreamExchange::write(std::string message) {
@@ -178,7 +178,7 @@
         return AnswerRead::kCancelled;
     }
     m_spoiled = true;
-    // The system's own word, from AttemptBounds or keep-alive questions; Beast's is another.
+    // The system's own word, from AttemptBounds or keep-alive probes; Beast's is another.
     m_unreachable = ec == asio::error::timed_out;
     const bool byUs = ec == beast::error::timeout;
     noteEnd(m_unreachable ? ConnectionEnd::kSystem
@@ -257,7 +257,7 @@
     if (!isClean() || upstream == nullptr || upstream->leaving) {
         return false;
     }
-    if (m_asksForLife && StopKeepAlive(m_connection->stream.socket())) {
+    if (m_keepAliveOn && StopKeepAlive(m_connection->stream.socket())) {
         return false;
     }
     m_connection->keepAlive = m_facts.keepAlive.value_or(0);
