Log the loads that an attempt was placed by

The record of the load incident shows where attempts went at best, never what load the box believed in. Line 2004 now has load, mean_load, load_bound and boxes_heard: with the logs of all boxes put together the real load is known too, so that old counts, few counts and no room anywhere can be told apart.

--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -29,10 +29,20 @@
     CacheSourceReason reason = CacheSourceReason::kHolder;
 };
 
+// What this box took for the loads when it chose, in requests: what the log needs to tell a wrong
+// choice from a right one on wrong numbers.
+struct LoadsAtChoice {
+    int load = 0;           // Of the chosen upstream.
+    double meanLoad = 0;    // Of those that it could have been.
+    int bound = 0;          // From this load on an upstream counted as full.
+    size_t boxesHeard = 0;  // Other boxes whose counts are part of it.
+};
+
 // Where an attempt goes, and why.
 struct AttemptPlace {
     Upstream upstream;
     PlacementReason reason = PlacementReason::kPreferred;
+    LoadsAtChoice loads;
     std::optional<FetchSource> source;  // Where the prompt's cached parts are fetched from.
 };
 
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -35,6 +35,9 @@
     // Whether the other boxes' loads are known of some of them only. Preconditions: none.
     bool loadsAreSampled() const { return m_peerCounts.isSample(); }
 
+    // Other boxes whose loads count now. Preconditions: none.
+    size_t boxesHeard() const { return m_peerCounts.boxes(); }
+
     // Who holds which parts of prompts. Preconditions: none.
     const CacheDirectory& caches() const { return m_caches; }
 
--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -59,10 +59,12 @@
 // The reason as it stands in the log. Thread safety: any thread.
 std::string_view PlacementReasonName(PlacementReason reason);
 
-// An upstream, by its index among the candidates, and why.
+// An upstream, by its index among the candidates, and why: the numbers that decided, in requests.
 struct PlacementChoice {
     size_t index = 0;
     PlacementReason reason = PlacementReason::kPreferred;
+    double meanLoad = 0;  // Of the candidates that could have been chosen.
+    int bound = 0;        // From this load on an upstream counted as full.
 };
 
 // Chooses among `candidates`; nothing if there is none. `promptHash`: of the prompt's last shared
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -71,7 +71,9 @@
     if (!chosen) {
         return std::nullopt;
     }
-    AttemptPlace place{*takingWork[chosen->index], chosen->reason, std::nullopt};
+    const LoadsAtChoice loads{candidates[chosen->index].load, chosen->meanLoad, chosen->bound,
+                              records.boxesHeard()};
+    AttemptPlace place{*takingWork[chosen->index], chosen->reason, loads, std::nullopt};
     if (question.spec != nullptr && question.spec->fetchesCache) {
         place.source = FetchSourceFor(upstreams, records, question, place.upstream, now);
     }
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -3,6 +3,8 @@
 #include "include/base/HttpStatus.h"
 #include "include/observe/Events.h"
 
+#include <fmt/format.h>
+
 namespace onyx {
 
 namespace {
@@ -41,6 +43,10 @@
               {"attempt", std::to_string(attempt)},
               {"upstream", place.upstream.id},
               {"reason", std::string(PlacementReasonName(place.reason))},
+              {"load", std::to_string(place.loads.load)},
+              {"mean_load", fmt::format("{:.1f}", place.loads.meanLoad)},
+              {"load_bound", std::to_string(place.loads.bound)},
+              {"boxes_heard", std::to_string(place.loads.boxesHeard)},
               {"prompt", facts.sharedParts.empty() ? std::string() : facts.sharedParts.back()},
               {"prompt_tokens", std::to_string(facts.promptTokens)},
               {"cache_source", source ? source->upstream.id : std::string()},
--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -49,7 +49,8 @@
         Indices order = m_usable;
         std::sort(order.begin(), order.end(),
                   [&](size_t a, size_t b) { return affinity(a) > affinity(b); });
-        const int bound = boundOf(policy, meanLoad());
+        const double mean = meanLoad();
+        const int bound = boundOf(policy, mean);
         const auto room = std::find_if(order.begin(), order.end(), [&](size_t i) {
             return m_candidates[i].load < std::min(bound, slots(i));
         });
@@ -57,7 +58,7 @@
         const size_t chosen = room != order.end()
                                   ? *room
                                   : Lowest(order, [&](size_t i) { return m_candidates[i].load; });
-        return {chosen, affinityReason(chosen)};
+        return {chosen, affinityReason(chosen), mean, std::min(bound, slots(chosen))};
     }
 
     PlacementChoice operator()(const ZoneFirstPolicy&) const {
@@ -65,8 +66,9 @@
             const PlacementCandidate& c = m_candidates[i];
             return std::make_tuple(c.load >= c.slots, !c.sameZone, c.load, randomOrder(i));
         });
-        return {chosen, m_candidates[chosen].sameZone ? PlacementReason::kSameZone
-                                                      : PlacementReason::kOtherZone};
+        const PlacementReason reason = m_candidates[chosen].sameZone ? PlacementReason::kSameZone
+                                                                     : PlacementReason::kOtherZone;
+        return {chosen, reason, meanLoad(), slots(chosen)};
     }
 
 private:
