--- /dev/null
+++ b/include/gateway/LoadExchange.h
@@ -0,0 +1,60 @@
+// Decides what this box tells which of its neighbours about upstreams, and when; takes in what they
+// tell. A state machine over frames: no socket, clock or thread, so that a whole site of them can
+// be replayed.
+//
+// Inputs: UpstreamRecords (this box's requests, what it has learned of caches), the boxes that are
+// linked, the budget of control bytes. Relies on BoxDirectory for who is a neighbour and on
+// DigestPeriod for how often the budget allows.
+#pragma once
+
+#include "include/gateway/UpstreamRecords.h"
+#include "include/membership/BoxDirectory.h"
+#include "include/wire/FrameCodec.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace onyx {
+
+// One frame, as EncodeFrame makes it, for several boxes.
+struct OutgoingFrame {
+    std::vector<std::string> to;  // Addresses.
+    std::string frame;
+};
+
+// Not thread safe: one task owns it.
+class LoadExchange {
+public:
+    // `budget`: bytes a second for all that it tells. Preconditions: budget > 0; the records
+    // outlive it.
+    LoadExchange(UpstreamRecords& records, int64_t budget) : m_records(records), m_budget(budget) {}
+
+    // The frames that are due at `now`, for boxes among `linked`. `boxes`: those of the site.
+    // Preconditions: times do not fall.
+    std::vector<OutgoingFrame> due(const BoxDirectory& boxes, std::span<const std::string> linked,
+                                   MonoTime now);
+
+    // How long until something may be due again, in milliseconds. Preconditions: none.
+    Millis pause() const { return m_digestPeriod; }
+
+    // Takes in what the box at `from` tells; other messages are left alone.
+    // Preconditions: times do not fall.
+    void take(const std::string& from, const wire::BodyUnion& body, MonoTime now);
+
+private:
+    wire::DigestT digestOf(const PeerCounts::Counts& counts);
+    OutgoingFrame digestFor(std::span<const std::string> neighbours,
+                            const PeerCounts::Counts& counts);
+    void takeDigest(const std::string& from, const wire::DigestT& digest, MonoTime now);
+
+    UpstreamRecords& m_records;
+    int64_t m_budget;
+    MonoTime m_lastDigest;
+    PeerCounts::Counts m_announced;  // In the last digest.
+    Millis m_digestPeriod = 100;
+    uint64_t m_sequence = 0;
+};
+
+}  // namespace onyx
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -2,11 +2,13 @@
 // to a sample of many, and announces over them what this box has in flight and has learned of
 // caches. A box without links goes on serving.
 //
-// Owns the links and the directory of boxes. Relies on BoxDirectory and DigestPeriod for whom to
-// dial and how often to announce. What boxes ask each other of the store is PeerSync's matter.
+// Owns the links and the directory of boxes. Relies on BoxDirectory for whom to dial and on
+// LoadExchange for what to announce to whom. What boxes ask each other of the store is PeerSync's
+// matter.
 #pragma once
 
 #include "include/gateway/GatewaySettings.h"
+#include "include/gateway/LoadExchange.h"
 #include "include/gateway/UpstreamRecords.h"
 #include "include/membership/BoxDirectory.h"
 #include "include/observe/Metrics.h"
@@ -86,18 +88,12 @@
     wire::HelloT hello() const;
     void adopt(const std::shared_ptr<FrameLink>& link);
     void onFrame(FrameLink& link, wire::BodyUnion& body);
-    void takeDigest(Peer& peer, const std::string& address, const wire::DigestT& digest);
     void onClosed(FrameLink& link);
     void learn(const wire::BoxListT& list);
-    wire::DigestT digestOf(const PeerCounts::Counts& counts);
-    void sendDigest(const PeerCounts::Counts& counts);
     static wire::BoxListT ListOf(const std::vector<KnownBox>& boxes);
     void announceBoxes();
     void sendTo(const std::string& address, std::string frame);
-    // Whom a frame to several boxes is for.
-    enum class Audience : uint8_t { kAll, kNeighbours };
-    std::vector<std::shared_ptr<FrameLink>> linksTo(Audience audience) const;
-    void sendToMany(std::span<const std::shared_ptr<FrameLink>> links, const std::string& frame);
+    void sendToMany(std::span<const std::string> addresses, const std::string& frame);
     void dropSilent();
 
     asio::io_context& m_io;
@@ -112,11 +108,8 @@
     std::optional<BoxDirectory> m_boxes;  // Once this box knows its own address.
     std::string m_wanted;                 // A box to be linked to besides; empty: none.
     std::set<std::string> m_dialing;
-    MonoTime m_lastDigest;
-    PeerCounts::Counts m_announced;  // In the last digest.
+    LoadExchange m_exchange;
     size_t m_boxesKnown = 1;
-    Millis m_digestPeriod = 100;
-    uint64_t m_sequence = 0;
 };
 
 }  // namespace onyx
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -11,20 +11,10 @@
 
 // All times in milliseconds.
 constexpr Millis kDialPeriod = 500;  // A choice: a box that is back is linked to well within 3 s.
-// At most one digest in this time, and only on changes: loads this old keep the bound on an
-// upstream's load (AffinityPolicy) in sites whose boxes all announce theirs.
-constexpr Millis kDigestPeriod = 100;
-constexpr Millis kDigestRenewal =
-    500;  // A digest without changes, which shows that this box lives.
 // Boxes that this box dials; as many dial it. With 32 links the digests of a site of 85 boxes fit
 // into the budget of control bytes once a second.
 constexpr size_t kMaxDialed = 16;
-// Digests of a box are believed for this many of the periods that it announces, and for a while at
-// least: one may be lost or late.
-constexpr Millis kPeriodsBelieved = 3;
-constexpr Millis kMinBelieved = 1200;
 constexpr Millis kForgetAddress = 60000;  // A choice: longer than the restart of a box.
-constexpr int kMaxCount = 65535;          // That a digest can carry.
 
 }  // namespace
 
@@ -35,7 +25,8 @@
       m_records(records),
       m_metrics(metrics),
       m_sink(std::move(sink)),
-      m_acceptor(io) {
+      m_acceptor(io),
+      m_exchange(records, settings.digestBudget) {
     m_self = settings.box + "#" + std::to_string(ReadClocks().mono.ms);
 }
 
@@ -83,7 +74,6 @@
         m_boxes->forget(now - kForgetAddress,
                         [this](const std::string& address) { return m_links.contains(address); });
         m_boxesKnown = m_boxes->size();
-        m_records.setPeerShare(m_boxes->neighbourShare());
         dialMissing();
         co_await SleepFor(kDialPeriod);
     }
@@ -182,7 +172,7 @@
     if (newcomers.empty()) {
         return;
     }
-    sendToMany(linksTo(Audience::kAll), EncodeMessage(ListOf(newcomers)));
+    sendToMany(linked(), EncodeMessage(ListOf(newcomers)));
 }
 
 void PeerMesh::sendTo(const std::string& address, std::string frame) {
@@ -196,22 +186,10 @@
 }
 
 // A link that takes no more is closed while it is sent to, so the links are not walked themselves.
-std::vector<std::shared_ptr<FrameLink>> PeerMesh::linksTo(Audience audience) const {
-    std::vector<std::shared_ptr<FrameLink>> links;
-    for (const auto& [address, peer] : m_links) {
-        if (audience == Audience::kAll || m_boxes->isNeighbour(address)) {
-            links.push_back(peer.link);
-        }
-    }
-    return links;
-}
-
-void PeerMesh::sendToMany(std::span<const std::shared_ptr<FrameLink>> links,
-                          const std::string& frame) {
-    for (const auto& link : links) {
-        link->sendEncoded(frame);
+void PeerMesh::sendToMany(std::span<const std::string> addresses, const std::string& frame) {
+    for (const std::string& address : addresses) {
+        sendTo(address, frame);
     }
-    m_metrics.count("onyx_peer_bytes_sent_total", {}, links.size() * frame.size());
 }
 
 void PeerMesh::learn(const wire::BoxListT& list) {
@@ -232,8 +210,9 @@
     }
     it->second.heard = now;
     m_boxes->heard({address, link.peer().zone}, now);
+    m_exchange.take(address, body, now);
     if (const auto* digest = body.AsDigest()) {
-        takeDigest(it->second, address, *digest);
+        it->second.digestPeriod = static_cast<Millis>(digest->next_ms);
     } else if (const auto* list = body.AsBoxList()) {
         learn(*list);
     } else if (const auto* ask = body.AsKnowledgeAsk()) {
@@ -243,59 +222,15 @@
     }
 }
 
-void PeerMesh::takeDigest(Peer& peer, const std::string& address, const wire::DigestT& digest) {
-    PeerCounts::Counts counts;
-    for (const auto& load : digest.loads) {
-        counts.emplace_back(load.engine(), load.load());
-    }
-    const MonoTime now = ReadClocks().mono;
-    for (const auto& cached : digest.cached) {
-        m_records.noteHolding({cached.part(), cached.upstream()}, now);
-    }
-    peer.digestPeriod = static_cast<Millis>(digest.next_ms);
-    const Millis believed = std::max(kMinBelieved, kPeriodsBelieved * peer.digestPeriod);
-    m_records.notePeerLoads(address, std::move(counts), now, believed);
-}
-
-// Digests go out on changes, as often as the budget of control bytes allows.
 Task<> PeerMesh::announceLoads() {
     while (true) {
-        const MonoTime now = ReadClocks().mono;
-        const PeerCounts::Counts counts = m_records.ownLoads();
-        const Millis renewal = std::max(kDigestRenewal, m_digestPeriod);
-        const bool changed = counts != m_announced || m_records.hasAnnouncements();
-        if (changed || now - m_lastDigest >= renewal) {
-            sendDigest(counts);
-            m_announced = counts;
-            m_lastDigest = now;
+        for (const OutgoingFrame& outgoing :
+             m_exchange.due(*m_boxes, linked(), ReadClocks().mono)) {
+            sendToMany(outgoing.to, outgoing.frame);
         }
-        co_await SleepFor(m_digestPeriod);
-    }
-}
-
-wire::DigestT PeerMesh::digestOf(const PeerCounts::Counts& counts) {
-    wire::DigestT digest;
-    digest.sequence = ++m_sequence;
-    for (const auto& [upstream, count] : counts) {
-        const auto load = static_cast<uint16_t>(std::min(count, kMaxCount));
-        digest.loads.emplace_back(upstream, load, false);
-    }
-    for (const CacheHolding& holding : m_records.takeAnnouncements()) {
-        digest.cached.emplace_back(holding.part, holding.upstream);
+        m_metrics.set("onyx_peer_links", {}, static_cast<double>(m_links.size()));
+        co_await SleepFor(m_exchange.pause());
     }
-    return digest;
-}
-
-void PeerMesh::sendDigest(const PeerCounts::Counts& counts) {
-    wire::DigestT digest = digestOf(counts);
-    // The period is part of the frame whose size it depends on, so the size is taken with any.
-    digest.next_ms = static_cast<uint32_t>(kDigestPeriod);
-    const size_t size = EncodeMessage(digest).size();
-    const auto neighbours = linksTo(Audience::kNeighbours);
-    m_digestPeriod = DigestPeriod(kDigestPeriod, neighbours.size(), size, m_settings.digestBudget);
-    digest.next_ms = static_cast<uint32_t>(m_digestPeriod);
-    sendToMany(neighbours, EncodeMessage(std::move(digest)));
-    m_metrics.set("onyx_peer_links", {}, static_cast<double>(m_links.size()));
 }
 
 }  // namespace onyx
