--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -16,7 +16,7 @@
 // requests would leave an upstream that carries no more than the others.
 constexpr double kMinDrawnMargin = 1.0;
 // The same for a load that the upstream reported: less of it is chance, so that fewer requests
-// leave caches behind (trial in the replay: 11% fewer copies of prompts than with 1).
+// leave caches behind (trial in the replay: 6% fewer copies of prompts than with 1).
 constexpr double kMinReportedMargin = 3.0;
 // Upstreams share a prompt's requests if they carry no more than this over the mean each, in
 // requests: half of what the operators' limit leaves over the mean where upstreams are nearly idle.
--- a/src/placement/UpstreamLoads.cpp
+++ b/src/placement/UpstreamLoads.cpp
@@ -17,8 +17,9 @@
 constexpr Millis kMaxNewsAge = 700;
 // The own answers over which the usual load is taken: some two seconds of a box of many.
 constexpr double kUsualReports = 16;
-// In requests over the usual load. From here on a report is passed on: nearly full upstreams are
-// what others have to know, and with all reports the budget left room for one in five hops.
+// In requests over the usual load. From here on a report is passed on: others have to know of the
+// upstreams that are nearly full, and the budget is short. A choice: with 0 to 3 the replay differs
+// by less than its seeds do.
 constexpr double kNotableLoad = 2;
 // In requests over the usual load. What an upstream without a report has at most; a little below
 // what is passed on, since reports take some hops.
