Cut a count to what would be reported only for upstreams that report

With a usual load below five a plain upstream of six slots never counted as full, so that its zone's requests did not go to another zone. Now an upstream's counts are cut only if it ever reported. Sites whose boxes all announce to each other never came here (UpstreamRecords::load).

--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace onyx {
@@ -57,10 +58,10 @@
     // there is none of the last kReportAge. Preconditions: none.
     std::optional<int> reported(const std::string& upstream, MonoTime now) const;
 
-    // The load that an upstream has at most, in requests, if no report of it is here: of a fuller
-    // one some box would have passed on a report. Nothing if no box passes reports on to this one.
-    // Preconditions: none.
-    std::optional<int> mostUnreported(MonoTime now) const;
+    // The load that `upstream` has at most, in requests, if no report of it is here: were it
+    // fuller, some box would have passed on a report. Nothing if it never reported, or if no box
+    // passes reports on to this one. Preconditions: none.
+    std::optional<int> mostUnreported(const std::string& upstream, MonoTime now) const;
 
     // All boxes' requests there, or this box's if nothing fresh is known. Preconditions: none.
     int total(const std::string& upstream, MonoTime now) const;
@@ -90,13 +91,14 @@
     };
 
     const Record* find(const std::string& upstream) const;
-    static void take(Record& record, const LoadReport& report);
+    void take(const LoadReport& report);
     bool isDue(const Record& record, MonoTime now) const;
     void dropOld(MonoTime now);
 
     bool isNotable(int load) const;
 
     std::unordered_map<uint32_t, Record> m_records;  // By upstream number.
+    std::unordered_set<uint32_t> m_reporting;        // Upstreams that ever reported.
     double m_usual = 0;  // What this box's own answers report: a moving mean, in requests.
     std::optional<MonoTime> m_lastPassed;  // When another box passed a report on.
 };
--- a/src/gateway/UpstreamRecords.cpp
+++ b/src/gateway/UpstreamRecords.cpp
@@ -20,7 +20,7 @@
         // too much where a few boxes had told little, and left alone where they had told much. What
         // the upstream itself reported goes first; without a report the count is a guess, and a
         // guess is not believed where a report would have come.
-        const int guess = std::min(counted, m_loads.mostUnreported(now).value_or(counted));
+        const int guess = std::min(counted, m_loads.mostUnreported(id, now).value_or(counted));
         return reported.value_or(std::max(m_loads.own(id), guess));
     }
     return std::max(reported.value_or(0), counted);
--- a/src/placement/UpstreamLoads.cpp
+++ b/src/placement/UpstreamLoads.cpp
@@ -25,6 +25,10 @@
 // what is passed on, since reports take some hops.
 constexpr double kMaxUnreported = 1;
 
+// Upstreams remembered to report, far above a site's; what others pass on of upstreams that this
+// box never listed stays.
+constexpr size_t kMaxReporting = 65536;
+
 }  // namespace
 
 void UpstreamLoads::enter(const std::string& upstream) {
@@ -41,17 +45,21 @@
 void UpstreamLoads::noteReportedLoad(const std::string& upstream, int load, MonoTime now) {
     const uint32_t number = ShortHash(upstream);
     m_usual += (load - m_usual) / kUsualReports;
-    take(m_records[number], {number, load, now});
+    take({number, load, now});
 }
 
 void UpstreamLoads::notePassedReport(const LoadReport& report, MonoTime now) {
     m_lastPassed = now;
     if (now - report.asOf <= kReportAge) {
-        take(m_records[report.upstream], report);
+        take(report);
     }
 }
 
-void UpstreamLoads::take(Record& record, const LoadReport& report) {
+void UpstreamLoads::take(const LoadReport& report) {
+    if (m_reporting.size() < kMaxReporting) {
+        m_reporting.insert(report.upstream);
+    }
+    Record& record = m_records[report.upstream];
     if (record.report && record.report->asOf >= report.asOf) {
         return;
     }
@@ -63,8 +71,10 @@
     return load >= m_usual + kNotableLoad;
 }
 
-std::optional<int> UpstreamLoads::mostUnreported(MonoTime now) const {
-    if (!m_lastPassed || now - *m_lastPassed > kReportAge) {
+std::optional<int> UpstreamLoads::mostUnreported(const std::string& upstream, MonoTime now) const {
+    // Services whose answers tell no load have no other measure than the counts.
+    const bool reports = m_reporting.contains(ShortHash(upstream));
+    if (!reports || !m_lastPassed || now - *m_lastPassed > kReportAge) {
         return std::nullopt;
     }
     return static_cast<int>(m_usual + kMaxUnreported);
@@ -148,6 +158,7 @@
 }
 
 void UpstreamLoads::forget(const std::string& upstream) {
+    m_reporting.erase(ShortHash(upstream));
     const auto it = m_records.find(ShortHash(upstream));
     if (it != m_records.end() && it->second.own == 0) {
         m_records.erase(it);
