--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -41,7 +41,7 @@
     double margin = 2.5;
     // The loads come from a sample of the boxes and are old by the time that many requests take. A
     // sharp bound would then be passed by all boxes at once, so each request draws its own, between
-    // a little over the mean and the full one: of 1,578 sends on a site of 85 boxes 40 went over
+    // a little over the mean and the full one: of 1,578 attempts on a site of 85 boxes 40 went over
     // the operators' limit, with a sharp bound 91. And what the first choice does not take is
     // shared by several upstreams, since the next in order would be filled by all boxes at once.
     bool drawsBound = false;
