--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -32,10 +32,13 @@
 // What this box took for the loads when it chose, in requests: what the log needs to tell a wrong
 // choice from a right one on wrong numbers.
 struct LoadsAtChoice {
-    int load = 0;           // Of the chosen upstream.
-    double meanLoad = 0;    // Of those that it could have been.
-    int bound = 0;          // From this load on an upstream counted as full.
-    size_t boxesHeard = 0;  // Other boxes whose counts are part of it.
+    int load = 0;  // Of the chosen upstream.
+    bool reported =
+        false;  // The upstream told it, and this box counted on; else it is an estimate.
+    std::optional<Millis> reportAge;  // Of what the upstream told last; nothing: it never did.
+    double meanLoad = 0;              // Of those that it could have been.
+    int bound = 0;                    // From this load on an upstream counted as full.
+    size_t boxesHeard = 0;            // Other boxes whose counts are part of it.
 };
 
 // Where an attempt goes, and why.
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -13,6 +13,7 @@
 #include "include/placement/PromptShares.h"
 #include "include/placement/UpstreamLoads.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,12 @@
     // All boxes' requests at an upstream, as far as this box can tell. Preconditions: as above.
     KnownLoad load(const std::string& id, MonoTime now) const;
 
+    // How old the newest report of an upstream's load is, in milliseconds; nothing if none came.
+    // Preconditions: as above.
+    std::optional<Millis> reportAge(const std::string& id, MonoTime now) const {
+        return m_loads.reportAge(id, now);
+    }
+
     // Whether the other boxes' loads are known of some of them only. Preconditions: none.
     bool loadsAreSampled() const { return m_peerCounts.isSample(); }
 
--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -61,6 +61,10 @@
     // there is none of the last kReportAge. Preconditions: none.
     std::optional<int> reported(const std::string& upstream, MonoTime now) const;
 
+    // How old the newest report of `upstream` is, in milliseconds; nothing if there is none.
+    // Preconditions: none.
+    std::optional<Millis> reportAge(const std::string& upstream, MonoTime now) const;
+
     // The load that `upstream` has at most, in requests, if no report of it is here: were it
     // fuller, some box would have passed on a report. Nothing if it never reported, or if no box
     // passes reports on to this one. Preconditions: none.
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -84,7 +84,12 @@
     if (!chosen) {
         return std::nullopt;
     }
-    const LoadsAtChoice loads{candidates[chosen->index].load, chosen->meanLoad, chosen->bound,
+    const PlacementCandidate& candidate = candidates[chosen->index];
+    const LoadsAtChoice loads{candidate.load,
+                              candidate.loadReported,
+                              records.reportAge(takingWork[chosen->index]->id, now),
+                              chosen->meanLoad,
+                              chosen->bound,
                               records.boxesHeard()};
     AttemptPlace place{*takingWork[chosen->index], chosen->reason, loads, std::nullopt};
     if (question.spec != nullptr && question.spec->fetchesCache) {
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -44,6 +44,8 @@
               {"upstream", place.upstream.id},
               {"reason", std::string(PlacementReasonName(place.reason))},
               {"load", std::to_string(place.loads.load)},
+              {"load_reported", YesNo(place.loads.reported)},
+              {"report_age_ms", NumberOr(place.loads.reportAge, "none")},
               {"mean_load", fmt::format("{:.1f}", place.loads.meanLoad)},
               {"load_bound", std::to_string(place.loads.bound)},
               {"boxes_heard", std::to_string(place.loads.boxesHeard)},
--- a/src/placement/UpstreamLoads.cpp
+++ b/src/placement/UpstreamLoads.cpp
@@ -147,6 +147,14 @@
     return record->own + record->report->foreign;
 }
 
+std::optional<Millis> UpstreamLoads::reportAge(const std::string& upstream, MonoTime now) const {
+    const Record* record = find(upstream);
+    if (record == nullptr || !record->report) {
+        return std::nullopt;
+    }
+    return now - record->report->asOf;
+}
+
 int UpstreamLoads::total(const std::string& upstream, MonoTime now) const {
     return reported(upstream, now).value_or(own(upstream));
 }
--- a/tests/UpstreamLoadsTest.cpp
+++ b/tests/UpstreamLoadsTest.cpp
@@ -93,3 +93,17 @@
     loads.forget("other-model");
     CHECK_FALSE(loads.mostUnreported("other-model", {1000}));
 }
+
+TEST_CASE("The log can tell a load that was reported from an estimate, and how old the report is") {
+    UpstreamLoads loads;
+    CHECK_FALSE(loads.reportAge("a", {1000}));
+    loads.enter("a");
+    CHECK_FALSE(loads.reportAge("a", {1000}));
+    loads.noteReportedLoad("a", 4, {1000});
+    CHECK(loads.reportAge("a", {1300}) == Millis{300});
+    // An older one that another box passes on changes nothing.
+    loads.notePassedReport({ShortHash("a"), 9, {900}}, {1400});
+    CHECK(loads.reportAge("a", {1400}) == Millis{400});
+    // It is told also when it is too old to count.
+    CHECK(loads.reportAge("a", {9000}) == Millis{8000});
+}
