Tell an upstream that starts again under its id from the one before; read entries of other writers

Cause: all that a box knows of an upstream hung on its id, which stood for one life. What boxes announce carries one byte for the start that they mean; frames without it are believed of upstreams that were not seen to start again. An earlier start told late changes nothing.

--- a/include/gateway/Attempt.h
+++ b/include/gateway/Attempt.h
@@ -44,6 +44,7 @@
     MonoTime firstByteDeadline() const;
     MonoTime nextPieceDeadline() const;
     void learnFromHead();
+    bool isOfPast() const;
     void noteHealth(AttemptEnd end);
 
     RequestContext& m_context;
--- a/include/gateway/StoreController.h
+++ b/include/gateway/StoreController.h
@@ -49,6 +49,7 @@
     void takeUpstreams(const StoreUpdate& update);
     bool isBehind(const StoreUpdate& update, const StoredConfiguration& configuration) const;
     UpstreamChanges changesOf(const StoreUpdate& update) const;
+    void noteUnreadable(const std::string& object, const std::string& why) const;
 
     asio::any_io_executor m_executor;
     const GatewaySettings& m_settings;
--- a/include/gateway/UpstreamList.h
+++ b/include/gateway/UpstreamList.h
@@ -30,12 +30,16 @@
 
     // Whether there was a list yet. Preconditions: none.
     bool listed() const { return m_listed; }
+    // Whether any upstream of it says when it started. Preconditions: none.
+    bool saysStarts() const;
     // The list. Preconditions: none.
     const UpstreamTable& table() const { return m_table; }
     // Its age in milliseconds, or nothing before the first confirmation. Preconditions: none.
     std::optional<Millis> age(MonoTime now) const { return m_age.age(now); }
 
 private:
+    void take(Upstream upstream, uint64_t revision, std::string_view source, MonoTime now);
+    void noteStart(const Upstream& upstream, std::string_view source);
     void put(const Upstream& upstream, uint64_t revision, std::string_view source, MonoTime now);
     void remove(const std::string& id, uint64_t revision, std::string_view source);
 
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -12,11 +12,15 @@
 #include "include/placement/PeerCounts.h"
 #include "include/placement/PromptShares.h"
 #include "include/placement/UpstreamLoads.h"
+#include "include/routing/UpstreamTable.h"
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace onyx {
 
@@ -55,9 +59,25 @@
     // Who holds which parts of prompts. Preconditions: none.
     const CacheDirectory& caches() const { return m_caches; }
 
-    // Count an attempt in and out. Preconditions: each that began ends once.
-    void attemptBegan(const std::string& id) { m_loads.enter(id); }
-    void attemptEnded(const std::string& id) { m_loads.leave(id); }
+    // Counts an attempt in; `onRestart` is called if the upstream starts again while it runs. It
+    // may count the attempt out. Preconditions: each that began is counted out once.
+    uint64_t attemptBegan(const Incarnation& upstream, std::function<void()> onRestart);
+    // Counts an attempt out, by what attemptBegan() returned.
+    void attemptEnded(uint64_t attempt);
+
+    // The upstream is listed with this start. A later one than before ends all that is known of it
+    // and the attempts under way there, and returns the start before. Preconditions: none.
+    std::optional<int64_t> noteStart(const Incarnation& upstream);
+    // Whether a later start of it is known: what is said of this one is void. Preconditions: none.
+    bool isPast(const Incarnation& upstream) const;
+    // The start that is known of an upstream; 0: none. Preconditions: none.
+    int64_t startOf(const std::string& id) const;
+    // Whether what another box says of an upstream, by its number, is of the incarnation that is
+    // known here. `tag`: its StartTag; 0, of a box that does not say: believed unless the upstream
+    // was seen to start again. Preconditions: none.
+    bool isCurrent(uint32_t number, uint8_t tag) const;
+    // The tag that this box sends with a number. Preconditions: none.
+    uint8_t tagOf(uint32_t number) const;
 
     // Takes in what an attempt that began at `sent` saw of its upstream; true if that is ejected
     // from now on. Preconditions: sent <= now, which does not fall.
@@ -114,12 +134,27 @@
     void setPeerShare(double share) { m_peerCounts.setShare(share); }
 
 private:
+    // The latest start that is known of an upstream.
+    struct Life {
+        int64_t startedMs = 0;
+        bool restarted = false;  // It was seen to start again under its id.
+    };
+    struct UnderWay {
+        Incarnation upstream;
+        std::function<void()> onRestart;
+    };
+
+    void endLife(const Incarnation& upstream);
+
     UpstreamHealth m_health;
     UpstreamLoads m_loads;
     PeerCounts m_peerCounts;
     CacheDirectory m_caches;
     PromptShares m_prompts;
     UpstreamPool m_pool;
+    std::unordered_map<uint32_t, Life> m_lives;  // By upstream number; also of some that are gone.
+    std::map<uint64_t, UnderWay> m_underWay;     // Attempts, by number.
+    uint64_t m_attempts = 0;
 };
 
 }  // namespace onyx
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -54,6 +54,7 @@
     kUpstreamEjected = 2101,
     kObjectBad = 2102,
     kUpstreamsListed = 2103,
+    kUpstreamRestarted = 2104,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/include/placement/CacheDirectory.h
+++ b/include/placement/CacheDirectory.h
@@ -83,6 +83,9 @@
     // What is to be announced since the last call. Preconditions: none.
     std::vector<CacheHolding> takeAnnouncements();
 
+    // Forgets what `upstream` holds: it has started again. Preconditions: none.
+    void forgetHolder(uint32_t upstream);
+
     // Where `chosen` should fetch from, or nothing if there is nothing to gain: a known holder of
     // the last part, else the settled candidate that this part prefers, else a known holder of an
     // earlier part. Preconditions: none.
--- a/include/placement/PeerCounts.h
+++ b/include/placement/PeerCounts.h
@@ -25,6 +25,10 @@
     // Forgets a box whose link is gone. Preconditions: none.
     void forget(const std::string& box);
 
+    // Forgets what all boxes have at `upstream`, by its number: it has started again.
+    // Preconditions: none.
+    void forgetUpstream(uint32_t upstream);
+
     // Forgets the digests that are no longer believed. Preconditions: times do not fall.
     void expire(MonoTime now);
 
--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -7,6 +7,7 @@
 // boxes they came, or how often.
 #pragma once
 
+#include "include/base/Hash.h"
 #include "include/base/Time.h"
 #include "include/placement/PeerCounts.h"
 
@@ -80,6 +81,10 @@
     // Forgets an upstream that is gone and has no request. Preconditions: none.
     void forget(const std::string& upstream);
 
+    // Forgets an upstream's requests and reports: it has started again, and those requests have
+    // ended there. leave() is not to be called for them. Preconditions: none.
+    void endLife(const std::string& upstream) { m_records.erase(ShortHash(upstream)); }
+
 private:
     struct Report {
         int load = 0;
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -14,7 +14,19 @@
 
 namespace onyx {
 
-// One incarnation of an upstream; a restarted one has another id.
+// One life of an upstream. A replica that starts again, under another id or its own, is another
+// incarnation: it holds and knows nothing of before.
+struct Incarnation {
+    std::string id;
+    int64_t startedMs = 0;  // Unix time of its start, as it says itself; 0: not known.
+    friend bool operator==(const Incarnation&, const Incarnation&) = default;
+};
+
+// Stands for a start on the wire, in one byte: two starts of one upstream are taken for the same in
+// 1 of 255 cases. 0: not known. Preconditions: none. Thread safety: any thread.
+uint8_t StartTag(int64_t startedMs);
+
+// An upstream as the store lists it.
 struct Upstream {
     std::string id;
     ServiceId service;
@@ -22,6 +34,9 @@
     ZoneId zone;
     bool draining = false;  // It gets no new work.
     int slots = 1;          // Requests that it works on at once.
+    int64_t startedMs = 0;  // See Incarnation.
+
+    Incarnation incarnation() const { return {id, startedMs}; }
     friend bool operator==(const Upstream&, const Upstream&) = default;
 };
 
@@ -37,7 +52,7 @@
 class UpstreamTable {
 public:
     // Takes in one upstream, new or changed, as the store has it at `revision`; `since`: when it
-    // came, if it is new. Preconditions: it has an id.
+    // came, if it is new or has started again. Preconditions: it has an id.
     void put(Upstream upstream, MonoTime since, uint64_t revision);
 
     // Takes out the upstream `id`, which the store no longer has at `revision`.
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -18,11 +18,12 @@
 Task<AttemptReport> Attempt::run() {
     const std::string& upstream = m_place.upstream.id;
     m_caller.watch([exchange = m_exchange] { exchange->cancel(); });
-    m_context.records.attemptBegan(upstream);
+    const uint64_t attempt = m_context.records.attemptBegan(
+        m_place.upstream.incarnation(), [exchange = m_exchange] { exchange->cancel(); });
     const RelayEnd ended = co_await exchange();
     m_caller.unwatch();
     m_exchange->finish();
-    m_context.records.attemptEnded(upstream);
+    m_context.records.attemptEnded(attempt);
     noteHealth(ended.end);
     AttemptReport report;
     report.upstream = upstream;
@@ -98,7 +99,15 @@
     return NextPieceDeadline(wait, m_context.settings.stallTimeout, ReadClocks().mono);
 }
 
+// What an earlier incarnation did says nothing of the one that is there now.
+bool Attempt::isOfPast() const {
+    return m_context.records.isPast(m_place.upstream.incarnation());
+}
+
 void Attempt::learnFromHead() {
+    if (isOfPast()) {
+        return;
+    }
     const UpstreamFacts& facts = m_exchange->facts();
     const std::string& upstream = m_place.upstream.id;
     const MonoTime now = ReadClocks().mono;
@@ -117,7 +126,7 @@
 // A caller that left says nothing of the upstream.
 void Attempt::noteHealth(AttemptEnd end) {
     const auto sign = SignOfAttempt(end, m_exchange->unreachable());
-    if (!sign || m_caller.gone()) {
+    if (!sign || m_caller.gone() || isOfPast()) {
         return;
     }
     const std::string& upstream = m_place.upstream.id;
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -28,7 +28,12 @@
 constexpr double kMaxSaved = 1000;    // Milliseconds for which unspent budget is saved, for bursts.
 // Bytes of a frame of reports without its entries, and of an entry.
 constexpr double kReportFrameBytes = 64;
-constexpr double kReportBytes = 8;
+constexpr double kReportBytes = 9;
+
+// The StartTag of a frame's entry; frames of earlier versions have none.
+uint8_t TagAt(const std::vector<uint8_t>& tags, size_t i) {
+    return i < tags.size() ? tags[i] : 0;
+}
 
 std::vector<std::string> NeighboursOf(const BoxDirectory& boxes,
                                       std::span<const std::string> linked) {
@@ -107,6 +112,7 @@
         const auto load = static_cast<uint16_t>(std::min(report.load, kMaxCount));
         const auto age = static_cast<uint16_t>(std::min<Millis>(now - report.asOf, kMaxCount));
         message.reports.emplace_back(report.upstream, load, age);
+        message.starts.push_back(m_records.tagOf(report.upstream));
     }
     OutgoingFrame outgoing{std::move(targets), EncodeMessage(std::move(message))};
     m_reportAllowance -= static_cast<double>(outgoing.frame.size() * outgoing.to.size());
@@ -127,9 +133,11 @@
     for (const auto& [upstream, count] : counts) {
         const auto load = static_cast<uint16_t>(std::min(count, kMaxCount));
         digest.loads.emplace_back(upstream, load, false);
+        digest.load_starts.push_back(m_records.tagOf(upstream));
     }
     for (const CacheHolding& holding : m_records.takeAnnouncements()) {
         digest.cached.emplace_back(holding.part, holding.upstream);
+        digest.cached_starts.push_back(m_records.tagOf(holding.upstream));
     }
     return digest;
 }
@@ -154,19 +162,28 @@
 }
 
 void LoadExchange::takeReports(const wire::LoadReportsT& reports, MonoTime now) {
-    for (const auto& entry : reports.reports) {
+    for (size_t i = 0; i < reports.reports.size(); ++i) {
+        const auto& entry = reports.reports[i];
         // The way here counts as nothing: some milliseconds.
-        m_records.notePassedReport({entry.upstream(), entry.load(), now - entry.age_ms()}, now);
+        if (m_records.isCurrent(entry.upstream(), TagAt(reports.starts, i))) {
+            m_records.notePassedReport({entry.upstream(), entry.load(), now - entry.age_ms()}, now);
+        }
     }
 }
 
 void LoadExchange::takeDigest(const std::string& from, const wire::DigestT& digest, MonoTime now) {
     PeerCounts::Counts counts;
-    for (const auto& load : digest.loads) {
-        counts.emplace_back(load.engine(), load.load());
+    for (size_t i = 0; i < digest.loads.size(); ++i) {
+        const auto& load = digest.loads[i];
+        if (m_records.isCurrent(load.engine(), TagAt(digest.load_starts, i))) {
+            counts.emplace_back(load.engine(), load.load());
+        }
     }
-    for (const auto& cached : digest.cached) {
-        m_records.noteHolding({cached.part(), cached.upstream()}, now);
+    for (size_t i = 0; i < digest.cached.size(); ++i) {
+        const auto& cached = digest.cached[i];
+        if (m_records.isCurrent(cached.upstream(), TagAt(digest.cached_starts, i))) {
+            m_records.noteHolding({cached.part(), cached.upstream()}, now);
+        }
     }
     const auto period = static_cast<Millis>(digest.next_ms);
     const Millis believed = std::max(kMinBelieved, kPeriodsBelieved * period);
--- a/src/gateway/PeerMessages.cpp
+++ b/src/gateway/PeerMessages.cpp
@@ -12,12 +12,13 @@
     entry->zone = upstream.zone.value;
     entry->leaving = upstream.draining;
     entry->slots = upstream.slots;
+    entry->started_ms = upstream.startedMs;
     return entry;
 }
 
 Upstream UpstreamOf(const wire::UpstreamEntryT& entry) {
-    return {entry.id,   ServiceId(entry.service), entry.address, ZoneId(entry.zone), entry.leaving,
-            entry.slots};
+    return {entry.id,    ServiceId(entry.service), entry.address, ZoneId(entry.zone), entry.leaving,
+            entry.slots, entry.started_ms};
 }
 
 }  // namespace
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -2,6 +2,7 @@
 
 #include "include/observe/Events.h"
 
+#include <algorithm>
 #include <set>
 
 namespace onyx {
@@ -12,6 +13,13 @@
     return kind == ObjectKind::kUpstreams ? "upstreams" : "configuration";
 }
 
+bool AnySaysStart(const StoreUpdate& update) {
+    return std::any_of(update.objects.begin(), update.objects.end(), [](const StoredObject& o) {
+        const auto* upstream = std::get_if<Upstream>(&o.content);
+        return upstream != nullptr && upstream->startedMs != 0;
+    });
+}
+
 }  // namespace
 
 StoreController::StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
@@ -51,7 +59,9 @@
     };
     sink.wait = [this, kind] { return watchWait(kind); };
     sink.pauseAfterChanges = [this, kind] { return pauseAfterChanges(kind); };
-    sink.maxPauseAfterFailure = [this] { return MaxPauseAfterFailure(m_facts()); };
+    sink.pauseAfterFailure = [this](Millis previous) {
+        return PauseAfterFailure(previous, m_facts());
+    };
     return std::make_unique<StoreWatch>(m_executor, m_dialect, watch, std::move(sink));
 }
 
@@ -133,11 +143,19 @@
     }
 }
 
+void StoreController::noteUnreadable(const std::string& object, const std::string& why) const {
+    m_metrics.count("onyx_objects_unreadable_total");
+    logEvent(Event::kObjectBad, {{"object", object}, {"why", why}});
+}
+
+// Where upstreams say when they started, all do: an entry that does not is of another writer, and
+// one that names no upstream must not take the place of one that did.
 UpstreamChanges StoreController::changesOf(const StoreUpdate& update) const {
     UpstreamChanges changes;
     changes.whole = update.whole;
     changes.revision = update.revision;
     std::set<std::string_view> seen;
+    const bool saysStarts = AnySaysStart(update) || m_upstreamList.saysStarts();
     // The last word on an object counts: an upstream may drain and be removed within one answer.
     for (auto it = update.objects.rbegin(); it != update.objects.rend(); ++it) {
         const StoredObject& object = *it;
@@ -146,12 +164,15 @@
         }
         if (object.removed) {
             changes.removed.push_back(object.name);
-        } else if (const auto* upstream = std::get_if<Upstream>(&object.content)) {
-            changes.changed.push_back(*upstream);
         } else if (const auto* error = std::get_if<Error>(&object.content)) {
-            logEvent(Event::kObjectBad, {{"object", object.name}, {"why", error->text()}});
-            if (const Upstream* known = m_upstreamList.table().find(object.name)) {
-                changes.changed.push_back(*known);
+            noteUnreadable(object.name, error->text());
+            changes.removed.push_back(object.name);
+        } else if (const auto* upstream = std::get_if<Upstream>(&object.content)) {
+            if (saysStarts && upstream->startedMs == 0) {
+                noteUnreadable(object.name, "it says no start, and others do");
+                changes.removed.push_back(object.name);
+            } else {
+                changes.changed.push_back(*upstream);
             }
         }
     }
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -258,7 +258,8 @@
 // Gives the connection to the pool; false if it is not fit for that.
 bool UpstreamExchange::keep() {
     const Upstream* upstream = m_context.upstreams.table().find(m_upstream.id);
-    if (!isClean() || upstream == nullptr || upstream->draining) {
+    const bool gone = upstream == nullptr || upstream->startedMs != m_upstream.startedMs;
+    if (!isClean() || gone || upstream->draining) {
         return false;
     }
     if (m_keepAliveOn && StopKeepAlive(m_connection->stream.socket())) {
--- a/src/gateway/UpstreamList.cpp
+++ b/src/gateway/UpstreamList.cpp
@@ -2,6 +2,7 @@
 
 #include "include/observe/Events.h"
 
+#include <algorithm>
 #include <set>
 
 namespace onyx {
@@ -41,7 +42,7 @@
         remove(id, changes.revision, source);
     }
     for (const Upstream& upstream : changes.changed) {
-        put(upstream, changes.revision, source, now);
+        take(upstream, changes.revision, source, now);
     }
     m_table.setRevision(changes.revision);
     if (!m_listed) {
@@ -52,12 +53,41 @@
     }
 }
 
+bool UpstreamList::saysStarts() const {
+    const auto& all = m_table.all();
+    return std::any_of(all.begin(), all.end(),
+                       [](const auto& entry) { return entry.second.upstream.startedMs != 0; });
+}
+
+void UpstreamList::noteStart(const Upstream& upstream, std::string_view source) {
+    const auto before = m_records.noteStart(upstream.incarnation());
+    if (before) {
+        logEvent(Event::kUpstreamRestarted, {{"upstream", upstream.id},
+                                             {"start_before_ms", std::to_string(*before)},
+                                             {"start_ms", std::to_string(upstream.startedMs)},
+                                             {"source", std::string(source)}});
+    }
+}
+
+// What a box of an earlier version passes on says no start; an earlier incarnation, told late by a
+// box or a copy of the store, changes nothing.
+void UpstreamList::take(Upstream upstream, uint64_t revision, std::string_view source,
+                        MonoTime now) {
+    if (upstream.startedMs == 0) {
+        upstream.startedMs = m_records.startOf(upstream.id);
+    }
+    if (!m_records.isPast(upstream.incarnation())) {
+        put(upstream, revision, source, now);
+    }
+}
+
 void UpstreamList::put(const Upstream& upstream, uint64_t revision, std::string_view source,
                        MonoTime now) {
     const Upstream* known = m_table.find(upstream.id);
     if (known != nullptr && *known == upstream) {
         return;
     }
+    noteStart(upstream, source);
     if (upstream.draining) {
         m_records.dropConnections(upstream.id);
     }
--- a/src/gateway/UpstreamRecords.cpp
+++ b/src/gateway/UpstreamRecords.cpp
@@ -3,15 +3,107 @@
 #include "include/base/Hash.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace onyx {
 
+namespace {
+
+// Starts remembered, those of upstreams that are gone included; far above a site's. Beyond it all
+// are learned anew.
+constexpr size_t kMaxLives = 65536;
+
+}  // namespace
+
 void UpstreamRecords::forget(const std::string& id) {
     m_pool.drop(id);
     m_health.forget(id);
     m_loads.forget(id);
 }
 
+uint64_t UpstreamRecords::attemptBegan(const Incarnation& upstream,
+                                       std::function<void()> onRestart) {
+    if (!isPast(upstream)) {
+        m_loads.enter(upstream.id);
+    }
+    m_underWay[++m_attempts] = {upstream, std::move(onRestart)};
+    return m_attempts;
+}
+
+// Those of an earlier incarnation went with it: counted out here, they would be missing among the
+// requests of the next.
+void UpstreamRecords::attemptEnded(uint64_t attempt) {
+    const auto it = m_underWay.find(attempt);
+    if (it == m_underWay.end()) {
+        return;
+    }
+    if (!isPast(it->second.upstream)) {
+        m_loads.leave(it->second.upstream.id);
+    }
+    m_underWay.erase(it);
+}
+
+int64_t UpstreamRecords::startOf(const std::string& id) const {
+    const auto it = m_lives.find(ShortHash(id));
+    return it == m_lives.end() ? 0 : it->second.startedMs;
+}
+
+bool UpstreamRecords::isPast(const Incarnation& upstream) const {
+    return upstream.startedMs < startOf(upstream.id);
+}
+
+bool UpstreamRecords::isCurrent(uint32_t number, uint8_t tag) const {
+    const auto it = m_lives.find(number);
+    if (it == m_lives.end()) {
+        return true;
+    }
+    return tag == 0 ? !it->second.restarted : tag == StartTag(it->second.startedMs);
+}
+
+uint8_t UpstreamRecords::tagOf(uint32_t number) const {
+    const auto it = m_lives.find(number);
+    return it == m_lives.end() ? 0 : StartTag(it->second.startedMs);
+}
+
+std::optional<int64_t> UpstreamRecords::noteStart(const Incarnation& upstream) {
+    if (upstream.startedMs == 0) {
+        return std::nullopt;
+    }
+    if (m_lives.size() >= kMaxLives) {
+        m_lives.clear();
+    }
+    Life& life = m_lives[ShortHash(upstream.id)];
+    const int64_t before = std::exchange(life.startedMs, upstream.startedMs);
+    if (before == 0 || before >= upstream.startedMs) {
+        life.startedMs = std::max(before, upstream.startedMs);
+        return std::nullopt;
+    }
+    life.restarted = true;
+    endLife(upstream);
+    return before;
+}
+
+// What is known of the upstream is of the one before, and its requests have ended: an attempt that
+// waits for an answer learns it now and not at its deadline.
+void UpstreamRecords::endLife(const Incarnation& upstream) {
+    const uint32_t number = ShortHash(upstream.id);
+    m_pool.drop(upstream.id);
+    m_health.forget(upstream.id);
+    m_loads.endLife(upstream.id);
+    m_peerCounts.forgetUpstream(number);
+    m_caches.forgetHolder(number);
+    std::vector<std::function<void()>> ended;
+    for (const auto& [attempt, underWay] : m_underWay) {
+        if (underWay.upstream.id == upstream.id && isPast(underWay.upstream)) {
+            ended.push_back(underWay.onRestart);
+        }
+    }
+    for (const auto& onRestart : ended) {
+        onRestart();
+    }
+}
+
 KnownLoad UpstreamRecords::load(const std::string& id, MonoTime now) const {
     const int counted = m_loads.own(id) + m_peerCounts.at(id);
     if (!m_peerCounts.isSample()) {
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -59,6 +59,7 @@
     {Event::kUpstreamEjected, "upstream-ejected"},
     {Event::kObjectBad, "object-bad"},
     {Event::kUpstreamsListed, "upstreams-listed"},
+    {Event::kUpstreamRestarted, "upstream-restarted"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
--- a/src/placement/CacheDirectory.cpp
+++ b/src/placement/CacheDirectory.cpp
@@ -76,6 +76,15 @@
     record(holding, now);
 }
 
+void CacheDirectory::forgetHolder(uint32_t upstream) {
+    for (auto& [name, part] : m_parts) {
+        std::erase_if(part.holders,
+                      [&](const Holder& holder) { return holder.upstream == upstream; });
+    }
+    std::erase_if(m_waiting,
+                  [&](const CacheHolding& holding) { return holding.upstream == upstream; });
+}
+
 std::vector<CacheHolding> CacheDirectory::takeAnnouncements() {
     return std::exchange(m_waiting, {});
 }
--- a/src/placement/PeerCounts.cpp
+++ b/src/placement/PeerCounts.cpp
@@ -22,6 +22,13 @@
     }
 }
 
+void PeerCounts::forgetUpstream(uint32_t upstream) {
+    m_sums.erase(upstream);
+    for (auto& [box, digest] : m_boxes) {
+        std::erase_if(digest.counts, [&](const auto& count) { return count.first == upstream; });
+    }
+}
+
 void PeerCounts::expire(MonoTime now) {
     std::erase_if(m_boxes, [&](const auto& box) {
         const bool old = box.second.until < now;
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -1,12 +1,26 @@
 #include "include/routing/UpstreamTable.h"
 
+#include "include/base/Hash.h"
+
 #include <algorithm>
 
 namespace onyx {
 
+uint8_t StartTag(int64_t startedMs) {
+    constexpr uint64_t kTags = 255;
+    if (startedMs == 0) {
+        return 0;
+    }
+    return static_cast<uint8_t>(1 + HashText(std::to_string(startedMs)) % kTags);
+}
+
 void UpstreamTable::put(Upstream upstream, MonoTime since, uint64_t revision) {
     const auto it = m_entries.find(upstream.id);
     if (it != m_entries.end()) {
+        const int64_t before = it->second.upstream.startedMs;
+        if (before != 0 && upstream.startedMs != before) {
+            it->second.since = since;
+        }
         it->second.upstream = std::move(upstream);
         it->second.changedAt = revision;
         return;
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -48,7 +48,8 @@
     Millis firstAnswer = 0;
     Millis time = 0;
     bool ended = false;
-    uint64_t number = 0;  // In the order of arrival.
+    uint64_t number = 0;   // In the order of arrival.
+    uint64_t attempt = 0;  // As the box counts it.
 };
 
 struct Fleet::Server {
@@ -171,7 +172,7 @@
     box.records.expirePeerLoads(m_now);
     const PlacementQuestion question{m_service, &m_spec, parts, tried, m_random()};
     const auto place = PlaceAttempt(m_settings, box.upstreams, box.records, question, m_now);
-    box.records.attemptBegan(place->upstream.id);
+    work->attempt = box.records.attemptBegan(place->upstream.incarnation(), [] {});
     m_figures.preferred += place->reason == PlacementReason::kPreferred ? 1 : 0;
     work->parts = parts;
     work->server = m_serverByName.at(place->upstream.id);
@@ -232,7 +233,7 @@
     at(m_now + kRequestDelay, [this, work] {
         Box& box = *m_boxes[work->box];
         if (box.life == work->life) {
-            box.records.attemptEnded(ServerName(work->server));
+            box.records.attemptEnded(work->attempt);
         }
     });
 }
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -8,7 +8,7 @@
 
 UpstreamTable SomeTable() {
     UpstreamTable table;
-    table.put({"a", ServiceId("s"), "127.0.0.1:1", ZoneId("z"), false, 4}, {0}, 5);
+    table.put({"a", ServiceId("s"), "127.0.0.1:1", ZoneId("z"), false, 4, 1700}, {0}, 5);
     table.put({"b", ServiceId("s"), "127.0.0.1:2", ZoneId("z"), true, 2}, {0}, 8);
     table.setRevision(8);
     return table;
@@ -45,3 +45,9 @@
     reply.upstreams.push_back(nullptr);
     CHECK(ChangesOf(reply)->changed.size() == 1);
 }
+
+TEST_CASE("An entry of an earlier version says no start, and is read") {
+    wire::KnowledgeReplyT reply = ReplyTo({});
+    reply.upstreams.front()->started_ms = 0;
+    CHECK(ChangesOf(reply)->changed[0].startedMs == 0);
+}
--- a/tests/UpstreamListTest.cpp
+++ b/tests/UpstreamListTest.cpp
@@ -1,5 +1,7 @@
 #include "include/gateway/UpstreamList.h"
 
+#include "include/base/Hash.h"
+
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
@@ -53,3 +55,97 @@
     CHECK(list.table().all().at("a").since == MonoTime{0});
     CHECK(list.table().all().at("b").since == MonoTime{200000});
 }
+
+namespace {
+
+// A list with one upstream that started at `startedMs`.
+UpstreamChanges Started(uint64_t revision, int64_t startedMs) {
+    UpstreamChanges changes = Whole(revision, {"a"});
+    changes.changed.front().startedMs = startedMs;
+    return changes;
+}
+
+}  // namespace
+
+TEST_CASE("An upstream that starts again under its id is another one: nothing of before holds") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    const std::vector<std::string> parts{"part"};
+    list.apply(Started(3, 1000), "store", {100});
+    Eject(records, "a");
+    records.noteReportedLoad("a", 7, {100});
+    records.notePrompt(parts, "a", {100});
+    int restarts = 0;
+    const uint64_t early = records.attemptBegan({"a", 1000}, [&] { ++restarts; });
+    records.notePeerLoads("box", {{ShortHash("a"), 5}}, {100}, 5000);
+    REQUIRE(records.load("a", {100}).requests > 0);
+
+    list.apply(Started(4, 2000), "store", {200});
+    CHECK(restarts == 1);
+    CHECK_FALSE(records.isEjected("a", {1}));
+    CHECK(records.load("a", {200}).requests == 0);
+    CHECK(records.caches().holders("part", {200}).empty());
+    CHECK_FALSE(records.hasAnnouncements());
+    CHECK(list.table().all().at("a").since == MonoTime{200});
+
+    // An attempt of before that ends late takes no count from the new one.
+    const uint64_t late = records.attemptBegan({"a", 2000}, [&] { ++restarts; });
+    records.attemptEnded(early);
+    CHECK(records.load("a", {200}).requests == 1);
+    // One that was placed before and begins late does not count there.
+    const uint64_t placedBefore = records.attemptBegan({"a", 1000}, [] {});
+    CHECK(records.load("a", {200}).requests == 1);
+    records.attemptEnded(placedBefore);
+    records.attemptEnded(late);
+    CHECK(records.load("a", {200}).requests == 0);
+    CHECK(restarts == 1);
+}
+
+TEST_CASE(
+    "An earlier incarnation that is told late changes nothing, also after the upstream went") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    list.apply(Started(3, 2000), "store", {100});
+    const auto late = GENERATE(true, false);
+    if (late) {
+        list.apply(Whole(4, {}), "store", {150});
+    }
+    list.apply(Started(5, 1000), "peer", {200});
+    const Upstream* known = list.table().find("a");
+    CHECK((known == nullptr) == late);
+    CHECK((late || known->startedMs == 2000));
+    list.apply(Started(6, 3000), "store", {300});
+    REQUIRE(list.table().find("a") != nullptr);
+    CHECK(list.table().find("a")->startedMs == 3000);
+}
+
+TEST_CASE("A box of an earlier version tells no start: the one that is known stays") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    list.apply(Started(3, 2000), "store", {100});
+    UpstreamChanges drains = Started(4, 0);
+    drains.changed.front().draining = true;
+    list.apply(drains, "peer", {200});
+    REQUIRE(list.table().find("a") != nullptr);
+    CHECK(list.table().find("a")->draining);
+    CHECK(list.table().find("a")->startedMs == 2000);
+}
+
+TEST_CASE("What other boxes say counts for the incarnation that they mean") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    const uint32_t number = ShortHash("a");
+    CHECK(records.isCurrent(number, StartTag(1000)));  // Not listed here yet.
+    records.noteStart({"a", 1000});
+    CHECK(records.tagOf(number) == StartTag(1000));
+    CHECK(records.isCurrent(number, StartTag(1000)));
+    CHECK(records.isCurrent(number, 0));  // An earlier version, and only one incarnation was seen.
+    CHECK_FALSE(records.isCurrent(number, StartTag(2000)));
+    records.noteStart({"a", 2000});
+    CHECK_FALSE(records.isCurrent(number, StartTag(1000)));
+    CHECK_FALSE(records.isCurrent(number, 0));
+    CHECK(records.isCurrent(number, StartTag(2000)));
+}
