Send a whole list of upstreams only where it is fetched

Cause, by reading: a question goes to eight boxes, ten times a second while a box knows nothing; each box whose history does not reach back to the asker's revision, as after the loss of all boxes, would have sent the whole list: with 3,000 upstreams 270 KB each time. The asker reads a copy of the store, or fetches from one box. Test: PeerMessagesTest.

--- a/src/gateway/PeerMessages.cpp
+++ b/src/gateway/PeerMessages.cpp
@@ -42,7 +42,8 @@
 void AddUpstreams(const UpstreamTable& table, const wire::KnowledgeAskT& ask,
                   wire::KnowledgeReplyT& reply) {
     const UpstreamChanges changes = table.changesSince(ask.upstreams_revision);
-    if (changes.whole && ask.follows) {
+    // A question goes to many boxes; a whole list is sent only where it is fetched.
+    if (changes.whole && (ask.follows || ask.no_content)) {
         return;
     }
     reply.upstreams_told = true;
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -39,6 +39,14 @@
     CHECK_FALSE(ChangesOf(ReplyTo(ask)).has_value());
 }
 
+TEST_CASE("A whole list is sent where it is fetched, not to each question") {
+    wire::KnowledgeAskT ask;
+    ask.no_content = true;
+    CHECK_FALSE(ChangesOf(ReplyTo(ask)).has_value());
+    ask.no_content = false;
+    CHECK(ChangesOf(ReplyTo(ask))->whole);
+}
+
 TEST_CASE("An entry without an id is passed over") {
     wire::KnowledgeReplyT reply = ReplyTo({});
     reply.upstreams.front()->id.clear();
