Fetch changes of upstreams from one box, not from all that are asked for their ages

Now only the watcher, or one box that has something newer, is asked for changes; a copy of the list is read where that box cannot tell them.

--- a/include/freshness/PeerKnowledge.h
+++ b/include/freshness/PeerKnowledge.h
@@ -46,9 +46,9 @@
     // another fetch is under way. Preconditions: times do not fall.
     std::optional<uint64_t> startFetch(MonoTime now);
 
-    // The question `round` was answered; if it was a fetch, another may start.
+    // The question `round` was answered; true if it was a fetch, and another may start.
     // Preconditions: none.
-    void endFetch(uint64_t round);
+    bool endFetch(uint64_t round);
 
 private:
     uint64_t m_round = 0;
--- a/include/gateway/PeerSync.h
+++ b/include/gateway/PeerSync.h
@@ -72,8 +72,8 @@
     void noteDuty(StoreDutyDecision duty, MonoTime now);
     void askWatcher(MonoTime now);
     void askOthers(MonoTime now);
-    void catchUp(const std::string& from, const wire::KnowledgeReplyT& reply);
-    void fetchNewer(const std::string& from);
+    void catchUp(const std::string& from, const wire::KnowledgeReplyT& reply, bool askedChanges);
+    void fetch(const std::string& from, bool changesOnly);
     void apply(const PeerUpdate& update);
     wire::KnowledgeAskT questionOf(uint64_t round) const;
     KnownAges ages(MonoTime now) const;
--- a/src/freshness/PeerKnowledge.cpp
+++ b/src/freshness/PeerKnowledge.cpp
@@ -39,10 +39,12 @@
     return m_fetch;
 }
 
-void PeerKnowledge::endFetch(uint64_t round) {
-    if (m_fetch == round) {
-        m_fetch.reset();
+bool PeerKnowledge::endFetch(uint64_t round) {
+    if (m_fetch != round) {
+        return false;
     }
+    m_fetch.reset();
+    return true;
 }
 
 }  // namespace onyx
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -113,12 +113,12 @@
     return {m_configuration.age(now), m_upstreams.age(now)};
 }
 
-// The whole list of upstreams is asked for only where it is fetched: many boxes would send it.
+// Changes of upstreams are asked of one box at a time, the watcher or one that has newer ones:
+// eight boxes that are asked for their ages would all send the same.
 wire::KnowledgeAskT PeerSync::questionOf(uint64_t round) const {
     wire::KnowledgeAskT ask;
     ask.round = round;
     ask.have = m_configuration.version();
-    ask.want_upstreams = m_upstreams.listed();
     ask.upstreams_revision = m_upstreams.table().revision();
     ask.no_content = true;
     return ask;
@@ -127,6 +127,7 @@
 void PeerSync::askWatcher(MonoTime now) {
     wire::KnowledgeAskT ask = questionOf(m_knowledge.ask(now));
     ask.follows = true;
+    ask.want_upstreams = m_upstreams.listed();
     m_mesh.send(m_watcher, ask);
 }
 
@@ -159,7 +160,7 @@
 }
 
 void PeerSync::onReply(const std::string& from, const wire::KnowledgeReplyT& reply) {
-    m_knowledge.endFetch(reply.round);
+    const bool askedChanges = m_knowledge.endFetch(reply.round) || from == m_watcher;
     const auto asOf = m_knowledge.answered(reply.round, reply.age_ms);
     if (asOf) {
         apply({reply.content, reply.revision, *asOf, ChangesOf(reply), reply.upstreams_revision,
@@ -172,7 +173,7 @@
     }
     m_spread.replied(from, theirs, ages(now).older(), now);
     if (!m_duty.calls || isOverdue(now)) {
-        catchUp(from, reply);
+        catchUp(from, reply, askedChanges);
     }
 }
 
@@ -200,37 +201,39 @@
     }
 }
 
-// Another box has something newer that did not come with its answer. A copy of the store is near,
-// and spares the other box's line; what the copy does not have yet comes from the box.
-void PeerSync::catchUp(const std::string& from, const wire::KnowledgeReplyT& reply) {
-    const bool configuration = reply.revision > m_configuration.version();
+// Another box has something newer that did not come with its answer. Changes of upstreams are
+// fetched from it. A whole list, or a configuration, is read from a copy of the store, which is
+// near and spares the other box's line; what the copy does not have yet comes from the box.
+void PeerSync::catchUp(const std::string& from, const wire::KnowledgeReplyT& reply,
+                       bool askedChanges) {
     const bool upstreams = reply.upstreams_revision > m_upstreams.table().revision();
-    if (!configuration && !upstreams) {
-        return;
+    if (upstreams && !askedChanges && m_upstreams.listed()) {
+        fetch(from, true);
+    } else if (upstreams && reply.upstreams_revision > m_copyRead.upstreams) {
+        m_copyRead.upstreams = reply.upstreams_revision;
+        m_store.readCopySoon(ObjectKind::kUpstreams);
+    } else if (upstreams) {
+        fetch(from, false);
     }
-    const bool fromCopy = reply.revision > m_copyRead.configuration ||
-                          reply.upstreams_revision > m_copyRead.upstreams;
-    if (!fromCopy) {
-        fetchNewer(from);
+    if (reply.revision <= m_configuration.version()) {
         return;
     }
-    m_copyRead = {std::max(reply.revision, m_copyRead.configuration),
-                  std::max(reply.upstreams_revision, m_copyRead.upstreams)};
-    if (configuration) {
+    if (reply.revision > m_copyRead.configuration) {
+        m_copyRead.configuration = reply.revision;
         m_store.readCopySoon(ObjectKind::kConfiguration);
-    }
-    if (upstreams) {
-        m_store.readCopySoon(ObjectKind::kUpstreams);
+    } else {
+        fetch(from, false);
     }
 }
 
-void PeerSync::fetchNewer(const std::string& from) {
+// `changesOnly`: of upstreams, and no whole list.
+void PeerSync::fetch(const std::string& from, bool changesOnly) {
     const auto round = m_knowledge.startFetch(ReadClocks().mono);
     if (!round) {
         return;
     }
     wire::KnowledgeAskT ask = questionOf(*round);
-    ask.no_content = false;
+    ask.no_content = changesOnly;
     ask.want_upstreams = true;
     m_mesh.send(from, ask);
 }
