--- a/include/freshness/StoreDuty.h
+++ b/include/freshness/StoreDuty.h
@@ -70,7 +70,7 @@
     kYoung,       // Relies: its knowledge is young.
     kStarting,    // Relies: it has just started, others may answer.
     kFirst,       // Calls: nobody told it anything since it started, or it is a seed that just did.
-    kAlone,       // Calls: too few boxes answered to tell.
+    kAlone,       // Calls: there is no box to rely on, or too few answered to tell.
     kDeputy,      // Calls: next in order where the zone's watchers know nothing young.
     kAwaitsTurn,  // Relies: the store answers nobody, others try first.
     kTurn,        // Calls: its turn to try.
@@ -107,8 +107,9 @@
     MonoTime m_started;
     std::minstd_rand m_random;
     Millis m_startWait = 0;
-    std::map<std::string, MonoTime>
-        m_witnesses;                 // Boxes without young knowledge; when they said so.
+    // Boxes whose knowledge was older than askAge, and when they said so. All boxes' knowledge gets
+    // old together: were only what is over maxAge old, no box would find a witness in time.
+    std::map<std::string, MonoTime> m_witnesses;
     std::optional<MonoTime> m_turn;  // When this box may try next; nothing: no trouble.
 };
 
