--- a/tests/KnowledgeSite.h
+++ b/tests/KnowledgeSite.h
@@ -65,7 +65,6 @@
     void step(size_t i);
     void ask(size_t from, size_t to, bool follows);
     void callStore(size_t i, int kind);
-    void takeAge(Box& box, MonoTime asOf);
     StorePacingFacts factsOf(const Box& box) const;
     std::optional<Millis> ageOf(const Box& box) const;
     Millis between(Millis least, Millis most);
