--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -78,7 +78,8 @@
     struct Peer {
         std::shared_ptr<FrameLink> link;
         MonoTime heard;
-        Millis digestPeriod = 0;  // As it announced it last; 0: not yet.
+        Millis digestPeriod = 0;   // As it announced it last; 0: not yet.
+        bool sentUnknown = false;  // A frame of a kind that this build does not know.
     };
 
     Task<> greetAccepted(Tcp::socket socket);
@@ -96,6 +97,8 @@
     void sendTo(const std::string& address, std::string frame);
     void sendToMany(std::span<const std::string> addresses, const std::string& frame);
     void dropSilent();
+    void noteUnknown(Peer& peer, const wire::BodyUnion& body);
+    void countBuilds();
 
     asio::io_context& m_io;
     const GatewaySettings& m_settings;
@@ -111,6 +114,7 @@
     std::set<std::string> m_dialing;
     LoadExchange m_exchange;
     size_t m_boxesKnown = 1;
+    std::map<std::string, size_t> m_builds;  // Links by the build at their other end.
 };
 
 }  // namespace onyx
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -23,6 +23,7 @@
     kFrameBad = 1102,
     kPeerVersion = 1103,
     kPeerSite = 1104,
+    kFrameUnknown = 1105,
     kHomesChanged = 1110,
     kConfigInForce = 1200,
     kConfigStale = 1201,
--- a/include/wire/FrameCodec.h
+++ b/include/wire/FrameCodec.h
@@ -36,8 +36,16 @@
 // Preconditions: header.size() == kFrameHeaderSize. Thread safety: any thread.
 Result<size_t> DecodeFrameSize(std::span<const char> header);
 
-// Checks and unpacks a frame's content. Errors: kProtocol if the verifier rejects it, or if it
-// holds no message that this version knows. Preconditions: none. Thread safety: any thread.
+// Checks and unpacks a frame's content. A message of a later version keeps its type, without a
+// value. Errors: kProtocol if the verifier rejects it, or if it holds no message.
+// Preconditions: none. Thread safety: any thread.
 Result<wire::BodyUnion> DecodeFrame(std::span<const char> content);
 
+// Whether this version knows the kind of message. One that it does not know is passed over: boxes
+// of different versions stay linked while they are replaced one after the other.
+// Thread safety: any thread.
+inline bool IsKnownMessage(const wire::BodyUnion& body) {
+    return body.type <= wire::Body::MAX;
+}
+
 }  // namespace onyx
--- a/include/wire/FrameLink.h
+++ b/include/wire/FrameLink.h
@@ -32,8 +32,9 @@
     // Takes an accepted socket and exchanges greetings. Errors as for Connect.
     static Task<Result<std::shared_ptr<FrameLink>>> Accept(Tcp::socket socket, wire::HelloT hello);
 
-    // Starts to read: `onFrame` for each message, `onClosed` once. A broken or unknown frame
-    // closes the link with event 1102. Preconditions: called once.
+    // Starts to read: `onFrame` for each message, `onClosed` once. A broken frame closes the link
+    // with event 1102; a message of a kind that this version does not know is handed on
+    // (IsKnownMessage). Preconditions: called once.
     void start(OnFrame onFrame, OnClosed onClosed);
 
     // Queues a message. One that is sent to a closed link is dropped. Preconditions: none.
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -1,9 +1,11 @@
 #include "include/gateway/PeerMesh.h"
 
 #include "include/membership/DigestPeriod.h"
+#include "include/observe/BuildId.h"
 #include "include/observe/Events.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace onyx {
 
@@ -56,6 +58,7 @@
     hello.address = m_address;
     hello.role = wire::LinkRole::Router;
     hello.takes_load_reports = true;
+    hello.build = BuildId();
     return hello;
 }
 
@@ -71,6 +74,7 @@
     while (true) {
         const MonoTime now = ReadClocks().mono;
         dropSilent();
+        countBuilds();
         announceBoxes();
         m_boxes->forget(now - kForgetAddress,
                         [this](const std::string& address) { return m_links.contains(address); });
@@ -130,7 +134,8 @@
     m_links[address] = {link, now};
     m_exchange.noteVersion(address, link->peer().takes_load_reports);
     m_boxes->heard({address, link->peer().zone}, now);
-    logEvent(Event::kPeerUp, {{"peer", link->peer().box}, {"address", address}});
+    logEvent(Event::kPeerUp,
+             {{"peer", link->peer().box}, {"address", address}, {"build", link->peer().build}});
     link->start([this](FrameLink& from, wire::BodyUnion& body) { onFrame(from, body); },
                 [this](FrameLink& closed) { onClosed(closed); });
     link->send(ListOf(m_boxes->all()));
@@ -213,6 +218,10 @@
     }
     it->second.heard = now;
     m_boxes->heard({address, link.peer().zone}, now);
+    if (!IsKnownMessage(body)) {
+        noteUnknown(it->second, body);
+        return;
+    }
     m_exchange.take(address, body, now);
     if (const auto* digest = body.AsDigest()) {
         it->second.digestPeriod = static_cast<Millis>(digest->next_ms);
@@ -225,6 +234,27 @@
     }
 }
 
+void PeerMesh::noteUnknown(Peer& peer, const wire::BodyUnion& body) {
+    m_metrics.count("onyx_peer_frames_unknown_total");
+    if (!std::exchange(peer.sentUnknown, true)) {
+        logEvent(Event::kFrameUnknown, {{"peer", peer.link->peer().box},
+                                        {"kind", std::to_string(static_cast<int>(body.type))}});
+    }
+}
+
+// Shows how far a rolling upgrade is. A build that no link has any more stays, with 0.
+void PeerMesh::countBuilds() {
+    for (auto& [build, links] : m_builds) {
+        links = 0;
+    }
+    for (const auto& [address, peer] : m_links) {
+        ++m_builds[peer.link->peer().build];
+    }
+    for (const auto& [build, links] : m_builds) {
+        m_metrics.set("onyx_peer_builds", {{"build", build}}, static_cast<double>(links));
+    }
+}
+
 Task<> PeerMesh::announceLoads() {
     while (true) {
         for (const OutgoingFrame& outgoing :
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -28,6 +28,7 @@
     {Event::kFrameBad, "frame-bad"},
     {Event::kPeerVersion, "peer-version"},
     {Event::kPeerSite, "peer-site"},
+    {Event::kFrameUnknown, "frame-unknown"},
     {Event::kHomesChanged, "homes-changed"},
     {Event::kConfigInForce, "config-in-force"},
     {Event::kConfigStale, "config-stale"},
--- a/src/wire/FrameCodec.cpp
+++ b/src/wire/FrameCodec.cpp
@@ -31,12 +31,14 @@
     }
     const wire::Frame* frame = flatbuffers::GetRoot<wire::Frame>(bytes);
     const auto type = frame->body_type();
-    if (type == wire::Body::NONE || type > wire::Body::MAX || frame->body() == nullptr) {
-        return Error{ErrorCode::kProtocol, "frame.type", "", "no known message"};
+    if (type == wire::Body::NONE || frame->body() == nullptr) {
+        return Error{ErrorCode::kProtocol, "frame.type", "", "no message"};
     }
     wire::BodyUnion body;
     body.type = type;
-    body.value = wire::BodyUnion::UnPack(frame->body(), type, nullptr);
+    if (IsKnownMessage(body)) {
+        body.value = wire::BodyUnion::UnPack(frame->body(), type, nullptr);
+    }
     return body;
 }
 
--- a/tests/FrameCodecTest.cpp
+++ b/tests/FrameCodecTest.cpp
@@ -52,3 +52,16 @@
         CHECK(sane);
     }
 }
+
+TEST_CASE("A message of a later version is told from a broken one") {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto message = wire::CreateRunCancel(builder, 7);
+    builder.Finish(wire::CreateFrame(builder, static_cast<wire::Body>(200), message.Union()));
+    const auto* bytes = reinterpret_cast<const char*>(builder.GetBufferPointer());
+    auto decoded = DecodeFrame({bytes, builder.GetSize()});
+    REQUIRE(decoded.has_value());
+    CHECK_FALSE(IsKnownMessage(decoded.value()));
+    CHECK(decoded.value().AsRunCancel() == nullptr);
+    decoded = DecodeFrame(ContentOf(EncodeMessage(wire::RunCancelT{})));
+    CHECK(IsKnownMessage(decoded.value()));
+}
--- a/tools/onyx-gateway.cpp
+++ b/tools/onyx-gateway.cpp
@@ -2,6 +2,7 @@
 #include "include/gateway/Gateway.h"
 #include "include/net/Launch.h"
 #include "include/net/Program.h"
+#include "include/observe/BuildId.h"
 #include "include/observe/Events.h"
 #include "platform/PlatformDialect.h"
 
@@ -49,6 +50,7 @@
     }
     logEvent(Event::kStarted, {{"callers", EndpointText(settings.callers)},
                                {"readiness", EndpointText(settings.readiness)},
+                               {"build", BuildId()},
                                {"metrics", EndpointText(settings.metrics)}});
     asio::signal_set hangUp(io, SIGHUP);
     ReloadOnHangUp(hangUp, launch.settingsPath);
