--- a/src/observe/BuildId.cpp
+++ b/src/observe/BuildId.cpp
@@ -55,6 +55,8 @@
     for (size_t i = 0; i < program->dlpi_phnum && id.empty(); ++i) {
         const ElfW(Phdr)& segment = program->dlpi_phdr[i];
         if (segment.p_type == PT_NOTE) {
+            // The loader gives addresses as numbers.
+            // NOLINTNEXTLINE(performance-no-int-to-ptr)
             const auto* start = reinterpret_cast<const char*>(program->dlpi_addr + segment.p_vaddr);
             id = BuildIdIn({start, segment.p_memsz});
         }
