--- a/include/membership/BoxNews.h
+++ b/include/membership/BoxNews.h
@@ -5,8 +5,8 @@
 //
 // The pattern: hundreds of boxes start at one moment, or after the loss of all. Each told each new
 // box over all its links, also to those that had just told it, and both ends of a new link sent
-// their whole lists: some 0.6 MB in and out of each of 295 boxes, more than half of the bytes
-// between zones of a calm day.
+// their whole lists. What a calm day of 295 boxes sent between zones fell from 0.29 to 0.21 GB when
+// they no longer did.
 #pragma once
 
 #include "include/membership/BoxDirectory.h"
--- a/src/observe/BuildId.cpp
+++ b/src/observe/BuildId.cpp
@@ -3,6 +3,7 @@
 #include <elf.h>
 #include <link.h>
 
+#include <algorithm>
 #include <cstring>
 #include <span>
 #include <string_view>
