Say in the log whether an upstream crashed, and under which request

Line 2002 names the request's fingerprint (method, host, target, team, body) where the upstream ended the connection. CrashDetector then looks at the upstream's port: refused, or started again under its id, is a crash, told by the new line 2105 for each attempt that was under way, and counted (onyx_upstream_crashes_total). A connection that was reset, an answer that was cut short and a failing upstream leave the port open, and are none.

No request is handled otherwise. Price: one connection attempt to an upstream that broke off an answer.

--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -6,6 +6,7 @@
 #include "include/admission/RetryAllowance.h"
 #include "include/dialect/Dialect.h"
 #include "include/gateway/ConfigurationState.h"
+#include "include/gateway/CrashDetector.h"
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/PeerMesh.h"
 #include "include/gateway/RequestLog.h"
@@ -29,6 +30,7 @@
     Lifecycle& lifecycle;
     const PeerMesh& mesh;
     RequestLog& log;
+    CrashDetector& crashes;
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -42,6 +42,9 @@
     Task<AfterAnswer> refuse(const Refusal& refusal);
     AfterAnswer abandon(std::string_view outcome);
     AfterAnswer afterAnswer() const;
+    // Stands for this request wherever it comes again. Preconditions: it was admitted.
+    uint64_t fingerprint();
+    void noteBroken(const Upstream& upstream, const AttemptReport& report);
     RequestReport report() const;
 
     RequestContext& m_context;
@@ -52,11 +55,12 @@
     CallerFacts m_facts;
     Admission m_admission;
     RequestAttempts m_attempts{AttemptRules{}};
-    std::optional<AnswerRelay> m_relay;  // Once the head is read.
-    bool m_sent = false;                 // Any attempt went out.
-    bool m_timedOut = false;             // The last attempt ended for lack of time.
-    std::set<std::string> m_tried;       // Upstreams of the attempts so far.
-    std::string m_upstream;              // Of the last attempt.
+    std::optional<AnswerRelay> m_relay;     // Once the head is read.
+    bool m_sent = false;                    // Any attempt went out.
+    bool m_timedOut = false;                // The last attempt ended for lack of time.
+    std::set<std::string> m_tried;          // Upstreams of the attempts so far.
+    std::string m_upstream;                 // Of the last attempt.
+    std::optional<uint64_t> m_fingerprint;  // Once it was asked for.
 };
 
 }  // namespace onyx
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -8,6 +8,7 @@
 #include "include/admission/Admission.h"
 #include "include/dialect/Dialect.h"
 #include "include/gateway/ConnectionReport.h"
+#include "include/gateway/CrashDetector.h"
 #include "include/gateway/PlaceAttempt.h"
 #include "include/observe/Metrics.h"
 #include "include/relay/RequestAttempts.h"
@@ -22,8 +23,10 @@
 struct AttemptReport {
     std::string upstream;
     AttemptEnd end = AttemptEnd::kUnclear;
-    bool timedOut = false;     // It ended for lack of time.
-    bool unreachable = false;  // The upstream's machine gave no sign of life.
+    bool timedOut = false;       // It ended for lack of time.
+    bool unreachable = false;    // The upstream's machine gave no sign of life.
+    bool upstreamEnded = false;  // The upstream closed or started again while it ran the request.
+    std::optional<uint64_t> fingerprint;  // Of the request, where the upstream ended.
     Millis took = 0;
     ConnectionReport connection;
 };
@@ -82,6 +85,9 @@
     // An attempt led to the ejection of its upstream. Preconditions: none.
     void ejected(const std::string& upstream, AttemptEnd after);
 
+    // An upstream crashed with this attempt under way. Preconditions: none.
+    void crashed(const std::string& upstream, const BrokenAttempt& attempt);
+
     // This box answered by itself. `admission`: null if the request was not admitted.
     // Preconditions: none.
     void refused(const RequestReport& request, const Admission* admission, const Refusal& refusal,
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -56,6 +56,7 @@
     kObjectBad = 2102,
     kUpstreamsListed = 2103,
     kUpstreamRestarted = 2104,
+    kUpstreamCrashed = 2105,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -19,6 +19,10 @@
       m_upstreams(m_records),
       m_retries(settings.retry, ReadClocks().mono),
       m_log(m_metrics),
+      m_crashes(io, m_records,
+                [this](const Upstream& upstream, std::span<const BrokenAttempt> attempts) {
+                    noteCrash(upstream, attempts);
+                }),
       m_store(
           io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_metrics,
           [this] { return pacingFacts(); }, [this] { return m_sync.mayCallStore(); }),
@@ -31,8 +35,8 @@
               },
               [this](const std::string& address) { m_sync.onLinked(address); }}),
       m_sync(settings, dialect, m_configuration, m_upstreams, m_store, m_mesh),
-      m_context{io,        settings,  dialect,     m_configuration, m_upstreams,
-                m_records, m_retries, m_lifecycle, m_mesh,          m_log},
+      m_context{io,        settings,    dialect, m_configuration, m_upstreams, m_records,
+                m_retries, m_lifecycle, m_mesh,  m_log,           m_crashes},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -72,6 +76,12 @@
     }
 }
 
+void Gateway::noteCrash(const Upstream& upstream, std::span<const BrokenAttempt> attempts) {
+    for (const BrokenAttempt& attempt : attempts) {
+        m_log.crashed(upstream.id, attempt);
+    }
+}
+
 void Gateway::drain(std::function<void()> done) {
     m_lifecycle.startDraining();
     logEvent(Event::kDrainStarted, {{"active", std::to_string(m_lifecycle.activeRequests())}});
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -1,6 +1,7 @@
 #include "include/gateway/RequestHandler.h"
 
 #include "include/gateway/HttpText.h"
+#include "include/health/RequestFingerprint.h"
 
 namespace onyx {
 
@@ -109,15 +110,35 @@
                                  ReadClocks().mono - m_arrived);
     const AttemptRequest request{m_message, m_facts, m_admission, m_attempts, !m_sent};
     Attempt attempt(m_context, m_caller, *m_relay, request, place);
-    const AttemptReport report = co_await attempt.run();
+    AttemptReport report = co_await attempt.run();
     m_sent = m_sent || attempt.sent();
     m_timedOut = report.timedOut;
     m_tried.insert(place.upstream.id);
+    if (report.upstreamEnded) {
+        report.fingerprint = fingerprint();
+        noteBroken(place.upstream, report);
+    }
     const Verdict verdict = judge(report.end);
     m_context.log.attemptEnded(m_facts.id, report, verdict);
     co_return verdict;
 }
 
+uint64_t RequestHandler::fingerprint() {
+    if (!m_fingerprint) {
+        const std::string_view method = m_message.method_string();
+        const std::string_view host = m_message[http::field::host];
+        const std::string_view target = m_message.target();
+        m_fingerprint =
+            Fingerprint({method, host, target, m_admission.team.value, m_message.body()});
+    }
+    return *m_fingerprint;
+}
+
+void RequestHandler::noteBroken(const Upstream& upstream, const AttemptReport& report) {
+    const MonoTime now = ReadClocks().mono;
+    m_context.crashes.attemptBroke(upstream, {m_facts.id, fingerprint(), now - report.took, now});
+}
+
 Verdict RequestHandler::judge(AttemptEnd end) {
     const MonoTime now = ReadClocks().mono;
     const bool timeLeft = HasTimeForAttempt(m_admission.deadline, now) && !m_caller.gone();
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -1,6 +1,7 @@
 #include "include/gateway/RequestLog.h"
 
 #include "include/base/HttpStatus.h"
+#include "include/health/RequestFingerprint.h"
 #include "include/observe/Events.h"
 
 #include <fmt/format.h>
@@ -90,10 +91,19 @@
               {"rested_ms", std::to_string(connection.idle)},
               {"ended_by", std::string(ConnectionEndName(connection.end))},
               {"unacknowledged", NumberOr(connection.unacknowledged, "unknown")},
+              {"fingerprint", report.fingerprint ? FingerprintText(*report.fingerprint) : ""},
               {"retried", YesNo(verdict.step == NextStep::kRetry)},
               {"why", std::string(StepReasonName(verdict.reason))}});
 }
 
+void RequestLog::crashed(const std::string& upstream, const BrokenAttempt& attempt) {
+    m_metrics.count("onyx_upstream_crashes_total");
+    logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
+                                       {"request", attempt.request},
+                                       {"fingerprint", FingerprintText(attempt.fingerprint)},
+                                       {"ran_ms", std::to_string(attempt.ended - attempt.sent)}});
+}
+
 // What is not known of a request that was not admitted counts as "unknown".
 void RequestLog::countForBudget(const Admission* admission, bool good) {
     const std::string unknown = "unknown";
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -61,6 +61,7 @@
     {Event::kObjectBad, "object-bad"},
     {Event::kUpstreamsListed, "upstreams-listed"},
     {Event::kUpstreamRestarted, "upstream-restarted"},
+    {Event::kUpstreamCrashed, "upstream-crashed"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
