Keep a request from upstreams once three have crashed under it, at all boxes

Cause: a box forgets a request with its answer, and no box knows what others saw crash; each arrival went to the next upstream like a first one. Ruled out: retries of ours (each arrival was attempt 1 of 1).

Now each box tells the others of the crashes under its attempts, and all come to the same answer: a request (method, host, target, team, body) of which three attempts ended with their upstream, one after the other, is refused for ten minutes after its last crash, with 503, for it does not run, and the time that is left. Any box may see any crash: sightings have an id, so telling them twice changes nothing. Innocent requests stay served: attempts that were under way together, or at one upstream, count once, and one good answer clears a request at all boxes.

Weighed: counting at an owner of the fingerprint (an owner may be cut off, and two boxes need not be linked); the same in the store (a call for each attempt that breaks, no answer in an outage); waiting for the store to say that an upstream is gone (1 to 3 s later).

Replay of 2, 6, 87, 295 and 340 boxes: all know within connected_ms (CrashExchangeTest).

--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "include/base/Time.h"
+#include "include/health/RequestQuarantine.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,7 @@
     kCredentialUnknownYet,  // The same for the credential.
     kNoRoute,               // The route does not exist.
     kUnknownCredential,     // The credential stands for no team.
+    kQuarantined,           // Upstreams crashed while they ran it: see RequestQuarantine.
     kNoUpstream,            // No upstream took the request, and none ran it.
     kTimedOut,              // The last attempt ran out of time; the request may have run.
     kUnclear,               // The last attempt ended in another way; the request may have run.
@@ -48,6 +50,8 @@
 inline constexpr Millis kRetryAfterNoUpstream = 200;
 // A box learns a configuration from the store or from a peer within about this time.
 inline constexpr Millis kRetryAfterNoConfiguration = 500;
+// At most; a caller is told what is left of the quarantine.
+inline constexpr Millis kRetryAfterQuarantined = RequestQuarantine::kMemory;
 
 // The refusal for `reason`. `detail`: the words of kBadHead, which name the header; the others have
 // their own. Preconditions: none. Thread safety: any thread.
--- a/include/base/HttpStatus.h
+++ b/include/base/HttpStatus.h
@@ -7,6 +7,7 @@
 struct HttpStatus {
     static constexpr unsigned kOk = 200;
     static constexpr unsigned kFirstFinal = 200;  // Lower ones announce that another head follows.
+    static constexpr unsigned kFirstRedirect = 300;
     static constexpr unsigned kBadRequest = 400;
     static constexpr unsigned kUnauthorized = 401;
     static constexpr unsigned kNotFound = 404;
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -4,7 +4,7 @@
 //   ConfigurationState  the configuration in force and its age
 //   UpstreamList        the list of upstreams and its age
 //   UpstreamRecords     their health, loads and caches, kept connections
-//   CrashDetector       attempts whose upstreams may have crashed
+//   QuarantineController  which requests crash upstreams
 //   Lifecycle           how far this box's life has come, requests under way
 //   RetryAllowances     this box's part of the retry budget
 //   StoreController     the watches of the store and whether it answers
@@ -63,7 +63,6 @@
     StorePacingFacts pacingFacts() const;
     Task<> runDrain(std::function<void()> done);
     Task<> trimConnections();
-    void noteCrash(const Upstream& upstream, std::span<const BrokenAttempt> attempts);
 
     asio::io_context& m_io;
     const GatewaySettings& m_settings;
@@ -74,10 +73,10 @@
     Lifecycle m_lifecycle;
     RetryAllowances m_retries;
     RequestLog m_log;
-    CrashDetector m_crashes;
     StoreController m_store;
     PeerMesh m_mesh;
     PeerSync m_sync;
+    QuarantineController m_quarantine;
     RequestContext m_context;
     CallerServer m_callers;
     StatusServer m_status;
--- a/include/gateway/LoadExchange.h
+++ b/include/gateway/LoadExchange.h
@@ -7,6 +7,7 @@
 // DigestPeriod for how often the budget allows.
 #pragma once
 
+#include "include/gateway/OutgoingFrame.h"
 #include "include/gateway/UpstreamRecords.h"
 #include "include/membership/BoxDirectory.h"
 #include "include/wire/FrameCodec.h"
@@ -18,12 +19,6 @@
 
 namespace onyx {
 
-// One frame, as EncodeFrame makes it, for several boxes.
-struct OutgoingFrame {
-    std::vector<std::string> to;  // Addresses.
-    std::string frame;
-};
-
 // Not thread safe: one task owns it.
 class LoadExchange {
 public:
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -32,6 +32,7 @@
     struct Sink {
         std::function<void(const std::string& from, const wire::KnowledgeAskT&)> onAsk;
         std::function<void(const std::string& from, const wire::KnowledgeReplyT&)> onReply;
+        std::function<void(const std::string& from, const wire::CrashReportsT&)> onCrashReports;
         std::function<void(const std::string& address)> onLinked;  // A link stands.
     };
 
@@ -69,6 +70,15 @@
     // Preconditions: none.
     void keepLinked(std::string address) { m_wanted = std::move(address); }
 
+    // Whether the box at `address` is linked and knows CrashReports; those that do.
+    // Preconditions: none.
+    bool takesCrashReports(const std::string& address) const;
+    std::vector<std::string> linkedTakingCrashReports() const;
+
+    // Sends a frame to the boxes that it is for; to those that are not linked it is dropped.
+    // Preconditions: none.
+    void sendEncoded(const OutgoingFrame& outgoing);
+
     // Sends a message to one box; dropped if there is no link to it. Preconditions: none.
     template <class Message>
     void send(const std::string& address, Message message) {
@@ -99,7 +109,6 @@
     wire::BoxListT listOf(const std::vector<KnownBox>& boxes) const;
     void announceBoxes();
     void sendTo(const std::string& address, std::string frame);
-    void sendToMany(std::span<const std::string> addresses, const std::string& frame);
     void dropSilent();
     void noteUnknown(Peer& peer, const wire::BodyUnion& body);
     void countBuilds();
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -6,9 +6,9 @@
 #include "include/admission/RetryAllowance.h"
 #include "include/dialect/Dialect.h"
 #include "include/gateway/ConfigurationState.h"
-#include "include/gateway/CrashDetector.h"
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/PeerMesh.h"
+#include "include/gateway/QuarantineController.h"
 #include "include/gateway/RequestLog.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
@@ -30,7 +30,7 @@
     Lifecycle& lifecycle;
     const PeerMesh& mesh;
     RequestLog& log;
-    CrashDetector& crashes;
+    QuarantineController& quarantine;
     std::minstd_rand random{std::random_device{}()};
 };
 
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -32,6 +32,7 @@
 private:
     std::optional<Refusal> readHead();
     std::optional<Refusal> admit();
+    std::optional<Refusal> checkQuarantine(MonoTime now);
     Task<AfterAnswer> serve();
     std::optional<AttemptPlace> place();
     Task<Verdict> attempt(const AttemptPlace& place);
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -88,6 +88,12 @@
     // An upstream crashed with this attempt under way. Preconditions: none.
     void crashed(const std::string& upstream, const BrokenAttempt& attempt);
 
+    // A request is in quarantine from now on. `source`: the box that told the last crash, or
+    // "here". Preconditions: none.
+    void quarantined(uint64_t fingerprint, size_t crashes, const std::string& source);
+    // How many requests are in quarantine. Preconditions: none.
+    void quarantineSize(size_t requests);
+
     // This box answered by itself. `admission`: null if the request was not admitted.
     // Preconditions: none.
     void refused(const RequestReport& request, const Admission* admission, const Refusal& refusal,
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -51,6 +51,7 @@
     kAttemptStarted = 2004,
     kConnectionDropped = 2005,
     kAnswerHeadBad = 2006,
+    kRequestQuarantined = 2007,
     kUpstreamChanged = 2100,
     kUpstreamEjected = 2101,
     kObjectBad = 2102,
--- a/src/admission/Refusal.cpp
+++ b/src/admission/Refusal.cpp
@@ -22,7 +22,7 @@
 constexpr std::optional<Millis> kLater = kRetryAfterNoConfiguration;
 constexpr std::optional<Millis> kNoRetry = std::nullopt;
 // One row for each reason.
-constexpr std::array<Answer, 12> kAnswers = {{
+constexpr std::array<Answer, 13> kAnswers = {{
     {RefusalReason::kBadHead, HttpStatus::kBadRequest, "", kNoRetry},
     {RefusalReason::kNoRequestId, HttpStatus::kBadRequest, "the request has no id", kNoRetry},
     {RefusalReason::kDraining, HttpStatus::kUnavailable, "this box is leaving",
@@ -36,6 +36,8 @@
      "unknown key in a stale configuration", kLater},
     {RefusalReason::kNoRoute, HttpStatus::kNotFound, "no route", kNoRetry},
     {RefusalReason::kUnknownCredential, HttpStatus::kUnauthorized, "unknown key", kNoRetry},
+    {RefusalReason::kQuarantined, HttpStatus::kUnavailable,
+     "upstreams crashed while they ran this request", kRetryAfterQuarantined},
     {RefusalReason::kNoUpstream, HttpStatus::kUnavailable, "no upstream took the request",
      kRetryAfterNoUpstream},
     {RefusalReason::kTimedOut, HttpStatus::kGatewayTimeout, "the request may have run", kNoRetry},
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -19,10 +19,6 @@
       m_upstreams(m_records),
       m_retries(settings.retry, ReadClocks().mono),
       m_log(m_metrics),
-      m_crashes(io, m_records,
-                [this](const Upstream& upstream, std::span<const BrokenAttempt> attempts) {
-                    noteCrash(upstream, attempts);
-                }),
       m_store(
           io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_metrics,
           [this] { return pacingFacts(); }, [this] { return m_sync.mayCallStore(); }),
@@ -33,10 +29,17 @@
               [this](const std::string& from, const wire::KnowledgeReplyT& reply) {
                   m_sync.onReply(from, reply);
               },
-              [this](const std::string& address) { m_sync.onLinked(address); }}),
+              [this](const std::string& from, const wire::CrashReportsT& reports) {
+                  m_quarantine.onReports(from, reports);
+              },
+              [this](const std::string& address) {
+                  m_sync.onLinked(address);
+                  m_quarantine.onLinked(address);
+              }}),
       m_sync(settings, dialect, m_configuration, m_upstreams, m_store, m_mesh),
+      m_quarantine(io, m_records, m_mesh, m_log),
       m_context{io,        settings,    dialect, m_configuration, m_upstreams, m_records,
-                m_retries, m_lifecycle, m_mesh,  m_log,           m_crashes},
+                m_retries, m_lifecycle, m_mesh,  m_log,           m_quarantine},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -72,13 +75,9 @@
 Task<> Gateway::trimConnections() {
     while (true) {
         co_await SleepFor(kTrimPeriod);
-        m_records.pool().trim(m_settings.idleConnection, ReadClocks().mono);
-    }
-}
-
-void Gateway::noteCrash(const Upstream& upstream, std::span<const BrokenAttempt> attempts) {
-    for (const BrokenAttempt& attempt : attempts) {
-        m_log.crashed(upstream.id, attempt);
+        const MonoTime now = ReadClocks().mono;
+        m_records.pool().trim(m_settings.idleConnection, now);
+        m_quarantine.expire(now);
     }
 }
 
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -1,7 +1,7 @@
 #include "include/gateway/LoadExchange.h"
 
-#include "include/base/Hash.h"
 #include "include/membership/DigestPeriod.h"
+#include "include/membership/DrawBoxes.h"
 
 #include <algorithm>
 
@@ -99,22 +99,12 @@
     return m_sampled && room > 0 ? static_cast<size_t>(room / kReportBytes) : 0;
 }
 
-// Reports go on to a few neighbours, drawn anew each time, and from there to others: within some
-// rounds to all boxes, however many there are.
+// Reports go on to a few neighbours, drawn anew each time, and from there to others.
 std::vector<std::string> LoadExchange::reportTargets(const std::string& self,
                                                      std::vector<std::string> neighbours) {
     std::erase_if(neighbours,
                   [&](const std::string& address) { return m_older.contains(address); });
-    // Of each box's own: drawn alike by all, a few boxes would get the reports of all the others,
-    // and the rest none for a second.
-    const uint64_t round = RendezvousScore(++m_reportRound, self);
-    const size_t count = std::min(kReportFanOut, neighbours.size());
-    std::partial_sort(neighbours.begin(), neighbours.begin() + static_cast<std::ptrdiff_t>(count),
-                      neighbours.end(), [&](const std::string& a, const std::string& b) {
-                          return RendezvousScore(round, a) > RendezvousScore(round, b);
-                      });
-    neighbours.resize(count);
-    return neighbours;
+    return DrawBoxes(std::move(neighbours), kReportFanOut, self, ++m_reportRound);
 }
 
 OutgoingFrame LoadExchange::reportsFor(std::vector<std::string> targets, size_t most,
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -57,6 +57,7 @@
     hello.address = m_address;
     hello.role = wire::LinkRole::Router;
     hello.takes_load_reports = true;
+    hello.takes_crash_reports = true;
     hello.build = BuildId();
     return hello;
 }
@@ -104,6 +105,17 @@
     return addresses;
 }
 
+bool PeerMesh::takesCrashReports(const std::string& address) const {
+    const auto it = m_links.find(address);
+    return it != m_links.end() && it->second.link->peer().takes_crash_reports;
+}
+
+std::vector<std::string> PeerMesh::linkedTakingCrashReports() const {
+    std::vector<std::string> addresses = linked();
+    std::erase_if(addresses, [this](const std::string& box) { return !takesCrashReports(box); });
+    return addresses;
+}
+
 Task<> PeerMesh::dial(std::string address) {
     const auto endpoint = ParseEndpoint(address);
     if (endpoint.has_value()) {
@@ -213,9 +225,9 @@
 }
 
 // A link that takes no more is closed while it is sent to, so the links are not walked themselves.
-void PeerMesh::sendToMany(std::span<const std::string> addresses, const std::string& frame) {
-    for (const std::string& address : addresses) {
-        sendTo(address, frame);
+void PeerMesh::sendEncoded(const OutgoingFrame& outgoing) {
+    for (const std::string& address : outgoing.to) {
+        sendTo(address, outgoing.frame);
     }
 }
 
@@ -258,6 +270,8 @@
         m_sink.onAsk(address, *ask);
     } else if (const auto* reply = body.AsKnowledgeReply()) {
         m_sink.onReply(address, *reply);
+    } else if (const auto* reports = body.AsCrashReports()) {
+        m_sink.onCrashReports(address, *reports);
     }
 }
 
@@ -286,7 +300,7 @@
     while (true) {
         for (const OutgoingFrame& outgoing :
              m_exchange.due(*m_boxes, linked(), ReadClocks().mono)) {
-            sendToMany(outgoing.to, outgoing.frame);
+            sendEncoded(outgoing);
         }
         m_metrics.set("onyx_peer_links", {}, static_cast<double>(m_links.size()));
         co_await SleepFor(m_exchange.pause());
--- /dev/null
+++ b/src/gateway/QuarantineController.cpp
@@ -0,0 +1,80 @@
+#include "include/gateway/QuarantineController.h"
+
+#include "include/base/Hash.h"
+
+namespace onyx {
+
+QuarantineController::QuarantineController(asio::io_context& io, const UpstreamRecords& records,
+                                           PeerMesh& mesh, RequestLog& log)
+    : m_io(io),
+      m_mesh(mesh),
+      m_log(log),
+      m_detector(io, records,
+                 [this](const Upstream& upstream, std::span<const BrokenAttempt> attempts) {
+                     noteCrash(upstream, attempts);
+                 }) {}
+
+void QuarantineController::answered(uint64_t fingerprint) {
+    m_exchange.noteAnswer(fingerprint, ReadClocks().mono);
+    tell();
+}
+
+void QuarantineController::noteCrash(const Upstream& upstream,
+                                     std::span<const BrokenAttempt> attempts) {
+    const MonoTime now = ReadClocks().mono;
+    for (const BrokenAttempt& attempt : attempts) {
+        m_log.crashed(upstream.id, attempt);
+        const CrashSighting sighting{attempt.fingerprint, static_cast<uint32_t>(m_random()),
+                                     ShortHash(upstream.id), attempt.sent, attempt.ended};
+        if (m_exchange.noteCrash(sighting, now)) {
+            noteQuarantined(attempt.fingerprint, "here");
+        }
+    }
+    tell();
+}
+
+void QuarantineController::onLinked(const std::string& address) {
+    if (!m_mesh.takesCrashReports(address)) {
+        return;
+    }
+    if (auto frame = m_exchange.greeting(ReadClocks().mono)) {
+        m_mesh.sendEncoded({{address}, std::move(*frame)});
+    }
+}
+
+void QuarantineController::onReports(const std::string& from, const wire::CrashReportsT& reports) {
+    for (const uint64_t fingerprint : m_exchange.take(reports, ReadClocks().mono)) {
+        noteQuarantined(fingerprint, from);
+    }
+    tell();
+}
+
+void QuarantineController::noteQuarantined(uint64_t fingerprint, const std::string& source) {
+    m_log.quarantined(fingerprint, m_quarantine.crashes(fingerprint), source);
+}
+
+void QuarantineController::expire(MonoTime now) {
+    m_quarantine.expire(now);
+    m_log.quarantineSize(m_quarantine.quarantined(now));
+}
+
+void QuarantineController::tell() {
+    if (!m_telling && m_exchange.hasNews()) {
+        m_telling = true;
+        Spawn(m_io.get_executor(), runRounds());
+    }
+}
+
+Task<> QuarantineController::runRounds() {
+    while (m_exchange.hasNews()) {
+        const std::vector<std::string> linked = m_mesh.linkedTakingCrashReports();
+        const MonoTime now = ReadClocks().mono;
+        for (const OutgoingFrame& outgoing : m_exchange.round(m_mesh.address(), linked, now)) {
+            m_mesh.sendEncoded(outgoing);
+        }
+        co_await SleepFor(CrashExchange::kRound);
+    }
+    m_telling = false;
+}
+
+}  // namespace onyx
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "include/gateway/RequestHandler.h"
 
+#include "include/base/HttpStatus.h"
 #include "include/gateway/HttpText.h"
 #include "include/health/RequestFingerprint.h"
 
@@ -67,7 +68,20 @@
         rules.maxAttempts = m_admission.route->maxAttempts;
         m_attempts = RequestAttempts(rules);
     }
-    return std::nullopt;
+    return checkQuarantine(now);
+}
+
+std::optional<Refusal> RequestHandler::checkQuarantine(MonoTime now) {
+    if (!m_context.quarantine.suspectsAny()) {
+        return std::nullopt;
+    }
+    const auto left = m_context.quarantine.timeLeft(fingerprint(), now);
+    if (!left) {
+        return std::nullopt;
+    }
+    Refusal refusal = MakeRefusal(RefusalReason::kQuarantined);
+    refusal.retryAfter = *left;
+    return refusal;
 }
 
 Task<AfterAnswer> RequestHandler::serve() {
@@ -136,7 +150,8 @@
 
 void RequestHandler::noteBroken(const Upstream& upstream, const AttemptReport& report) {
     const MonoTime now = ReadClocks().mono;
-    m_context.crashes.attemptBroke(upstream, {m_facts.id, fingerprint(), now - report.took, now});
+    m_context.quarantine.attemptBroke(upstream,
+                                      {m_facts.id, fingerprint(), now - report.took, now});
 }
 
 Verdict RequestHandler::judge(AttemptEnd end) {
@@ -161,6 +176,10 @@
 }
 
 Task<AfterAnswer> RequestHandler::deliver() {
+    const bool success = m_relay->status() < HttpStatus::kFirstRedirect;
+    if (success && m_context.quarantine.suspectsAny()) {
+        m_context.quarantine.answered(fingerprint());
+    }
     const bool written = co_await m_relay->finish();
     m_context.log.done(report(), m_admission, kAnswered);
     co_return written ? afterAnswer() : AfterAnswer::kAborted;
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -104,6 +104,16 @@
                                        {"ran_ms", std::to_string(attempt.ended - attempt.sent)}});
 }
 
+void RequestLog::quarantined(uint64_t fingerprint, size_t crashes, const std::string& source) {
+    logEvent(Event::kRequestQuarantined, {{"fingerprint", FingerprintText(fingerprint)},
+                                          {"crashes", std::to_string(crashes)},
+                                          {"source", source}});
+}
+
+void RequestLog::quarantineSize(size_t requests) {
+    m_metrics.set("onyx_quarantined_requests", {}, static_cast<double>(requests));
+}
+
 // What is not known of a request that was not admitted counts as "unknown".
 void RequestLog::countForBudget(const Admission* admission, bool good) {
     const std::string unknown = "unknown";
--- /dev/null
+++ b/src/health/RequestQuarantine.cpp
@@ -0,0 +1,191 @@
+#include "include/health/RequestQuarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace onyx {
+
+namespace {
+
+// All times in milliseconds.
+constexpr Millis kInstant = 10;           // An upstream that lasted no longer crashed at once.
+constexpr Millis kShortestRestart = 500;  // Two crashes of one upstream lie at least so far apart.
+
+bool Earlier(const CrashSighting& a, const CrashSighting& b) {
+    return std::tie(a.crashed, a.id) < std::tie(b.crashed, b.id);
+}
+
+// From when on a crash before this attempt's is taken to come before the attempt itself. One that
+// began after a crash has its middle well after it, one that was under way then well before: boxes'
+// times of the same moment differ by the way of a frame. Those that crash their upstream at once
+// leave no such room.
+MonoTime StartOf(const CrashSighting& sighting) {
+    const Millis ran = sighting.crashed - sighting.sent;
+    return sighting.sent + std::max(ran / 2, std::min(ran, kInstant));
+}
+
+// Which of the sightings, ordered by the time of the crash, make up the longest sequence in which
+// each attempt began after the crash before it. What ends together at one upstream is one crash.
+std::vector<bool> InSequence(const std::vector<CrashSighting>& sightings) {
+    std::vector<bool> counted;
+    const CrashSighting* last = nullptr;
+    for (const CrashSighting& sighting : sightings) {
+        const bool same = last != nullptr && sighting.upstream == last->upstream &&
+                          sighting.crashed - last->crashed < kShortestRestart;
+        const bool after = last == nullptr || StartOf(sighting) >= last->crashed;
+        counted.push_back(after && !same);
+        last = counted.back() ? &sighting : last;
+    }
+    return counted;
+}
+
+size_t CountInSequence(const std::vector<CrashSighting>& sightings) {
+    const std::vector<bool> counted = InSequence(sightings);
+    return static_cast<size_t>(std::count(counted.begin(), counted.end(), true));
+}
+
+// Drops the last sighting that does not count; of those that all count, the last. The same ones are
+// left whatever the order in which they came.
+void DropOne(std::vector<CrashSighting>& sightings) {
+    const std::vector<bool> counted = InSequence(sightings);
+    const auto uncounted = std::find(counted.rbegin(), counted.rend(), false);
+    const auto at = uncounted == counted.rend()
+                        ? sightings.size() - 1
+                        : static_cast<size_t>(counted.rend() - uncounted) - 1;
+    sightings.erase(sightings.begin() + static_cast<std::ptrdiff_t>(at));
+}
+
+}  // namespace
+
+bool RequestQuarantine::IsQuarantined(const Record& record, MonoTime now) {
+    return record.crashes >= kCrashes && now - record.lastCrash < kMemory;
+}
+
+RequestQuarantine::Learned RequestQuarantine::noteCrash(const CrashSighting& sighting,
+                                                        MonoTime now) {
+    if (now - sighting.crashed >= kMemory) {
+        return Learned::kNothing;
+    }
+    if (!m_records.contains(sighting.request) && m_records.size() >= kMaxRequests) {
+        makeRoom(now);
+    }
+    Record& record = m_records[sighting.request];
+    if (record.answered && sighting.crashed <= *record.answered) {
+        return Learned::kNothing;
+    }
+    record.lastCrash = std::max(record.lastCrash, sighting.crashed);
+    const size_t before = record.crashes;
+    if (!record.add(sighting, now)) {
+        return Learned::kNothing;
+    }
+    const bool becameCause = before < kCrashes && record.crashes >= kCrashes;
+    return becameCause ? Learned::kQuarantine : Learned::kSighting;
+}
+
+// True if the sighting is new and was kept.
+bool RequestQuarantine::Record::add(const CrashSighting& sighting, MonoTime now) {
+    const auto isSame = [&](const CrashSighting& other) { return other.id == sighting.id; };
+    if (std::any_of(sightings.begin(), sightings.end(), isSame)) {
+        return false;
+    }
+    std::erase_if(sightings,
+                  [&](const CrashSighting& old) { return now - old.crashed >= kMemory; });
+    sightings.insert(std::upper_bound(sightings.begin(), sightings.end(), sighting, Earlier),
+                     sighting);
+    if (sightings.size() > kMaxSightings) {
+        DropOne(sightings);
+    }
+    crashes = CountInSequence(sightings);
+    return std::any_of(sightings.begin(), sightings.end(), isSame);
+}
+
+bool RequestQuarantine::noteAnswer(uint64_t request, MonoTime at, MonoTime now) {
+    const auto it = m_records.find(request);
+    if (it == m_records.end() || (it->second.answered && *it->second.answered >= at)) {
+        return false;
+    }
+    Record& record = it->second;
+    record.answered = std::min(at, now);
+    const size_t cleared = std::erase_if(record.sightings, [&](const CrashSighting& sighting) {
+        return sighting.crashed <= *record.answered;
+    });
+    record.crashes = CountInSequence(record.sightings);
+    return cleared > 0;
+}
+
+std::optional<Millis> RequestQuarantine::timeLeft(uint64_t request, MonoTime now) const {
+    const auto it = m_records.find(request);
+    if (it == m_records.end() || !IsQuarantined(it->second, now)) {
+        return std::nullopt;
+    }
+    return kMemory - (now - it->second.lastCrash);
+}
+
+size_t RequestQuarantine::quarantined(MonoTime now) const {
+    return static_cast<size_t>(
+        std::count_if(m_records.begin(), m_records.end(),
+                      [&](const auto& entry) { return IsQuarantined(entry.second, now); }));
+}
+
+size_t RequestQuarantine::crashes(uint64_t request) const {
+    const auto it = m_records.find(request);
+    return it == m_records.end() ? 0 : it->second.crashes;
+}
+
+std::vector<CrashSighting> RequestQuarantine::sightingsOf(uint64_t request, MonoTime now) const {
+    const auto it = m_records.find(request);
+    std::vector<CrashSighting> out;
+    if (it != m_records.end()) {
+        std::copy_if(it->second.sightings.begin(), it->second.sightings.end(),
+                     std::back_inserter(out),
+                     [&](const CrashSighting& old) { return now - old.crashed < kMemory; });
+    }
+    return out;
+}
+
+std::vector<CrashSighting> RequestQuarantine::sightings(size_t most, MonoTime now) const {
+    std::vector<std::pair<size_t, CrashSighting>> ranked;
+    for (const auto& [request, record] : m_records) {
+        for (const CrashSighting& sighting : record.sightings) {
+            if (now - sighting.crashed < kMemory) {
+                ranked.emplace_back(record.crashes, sighting);
+            }
+        }
+    }
+    const auto moreTelling = [](const auto& a, const auto& b) {
+        return std::tie(b.first, b.second.crashed, b.second.id) <
+               std::tie(a.first, a.second.crashed, a.second.id);
+    };
+    std::sort(ranked.begin(), ranked.end(), moreTelling);
+    ranked.resize(std::min(most, ranked.size()));
+    std::vector<CrashSighting> out;
+    out.reserve(ranked.size());
+    for (const auto& [crashes, sighting] : ranked) {
+        out.push_back(sighting);
+    }
+    return out;
+}
+
+void RequestQuarantine::expire(MonoTime now) {
+    std::erase_if(m_records, [&](const auto& entry) {
+        const Record& record = entry.second;
+        const MonoTime last = std::max(record.lastCrash, record.answered.value_or(MonoTime{}));
+        return now - last >= kMemory;
+    });
+}
+
+void RequestQuarantine::makeRoom(MonoTime now) {
+    expire(now);
+    if (m_records.size() < kMaxRequests) {
+        return;
+    }
+    const auto least =
+        std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
+            return std::tie(a.second.crashes, a.second.lastCrash) <
+                   std::tie(b.second.crashes, b.second.lastCrash);
+        });
+    m_records.erase(least);
+}
+
+}  // namespace onyx
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -55,6 +55,7 @@
     {Event::kAttemptStarted, "attempt-started"},
     {Event::kConnectionDropped, "connection-dropped"},
     {Event::kAnswerHeadBad, "answer-head-bad"},
+    {Event::kRequestQuarantined, "request-quarantined"},
     {Event::kCallerBad, "caller-bad"},
     {Event::kUpstreamChanged, "upstream-changed"},
     {Event::kUpstreamEjected, "upstream-ejected"},
--- /dev/null
+++ b/tests/CrashExchangeTest.cpp
@@ -0,0 +1,228 @@
+// A site's boxes that tell each other of crashes by nothing but the frames of CrashExchange.
+#include "include/gateway/CrashExchange.h"
+#include "include/membership/BoxDirectory.h"
+#include "include/wire/FrameCodec.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace onyx;
+
+namespace {
+
+constexpr uint64_t kCrashing = 11;
+// The operators' connected_ms on their large site and on the small ones.
+constexpr Millis kConnectedLarge = 5000;
+constexpr Millis kConnectedSmall = 3000;
+constexpr Millis kDelay = 2;  // Of a frame.
+constexpr size_t kMaxDialed = 16;
+constexpr double kControlBytes = 2000;  // A second and box, letter 1.
+
+struct Box {
+    RequestQuarantine quarantine;
+    CrashExchange exchange{quarantine};
+    std::string address;
+    std::vector<std::string> linked;
+    bool older = false;  // Its build knows no such frames.
+    uint64_t bytes = 0;
+};
+
+// Boxes linked as BoxDirectory links them. Virtual time, one seed, no socket.
+class Site {
+public:
+    Site(size_t boxes, uint64_t seed) : m_random(seed) {
+        for (size_t i = 0; i < boxes; ++i) {
+            auto box = std::make_unique<Box>();
+            box->address = "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":1";
+            m_byAddress[box->address] = i;
+            m_boxes.push_back(std::move(box));
+        }
+        for (const auto& box : m_boxes) {
+            BoxDirectory directory({box->address, "z"}, kMaxDialed);
+            for (const auto& other : m_boxes) {
+                directory.learn({other->address, "z"}, m_now);
+            }
+            for (const auto& other : m_boxes) {
+                if (other != box && directory.isNeighbour(other->address)) {
+                    box->linked.push_back(other->address);
+                }
+            }
+        }
+    }
+
+    size_t size() const { return m_boxes.size(); }
+    Box& box(size_t i) { return *m_boxes.at(i); }
+    MonoTime now() const { return m_now; }
+    size_t anyBox() { return m_random() % m_boxes.size(); }
+
+    // A box sees an upstream crash under a request that had been there for 50 ms.
+    void crash(size_t seenBy, uint64_t request) {
+        const auto id = static_cast<uint32_t>(m_random());
+        box(seenBy).exchange.noteCrash({request, id, id, m_now - 50, m_now}, m_now);
+    }
+
+    void play(Millis time) {
+        const MonoTime end = m_now + time;
+        while (m_now < end) {
+            m_now = m_now + CrashExchange::kRound;
+            for (const auto& box : m_boxes) {
+                if (box->exchange.hasNews()) {
+                    sendRound(*box);
+                }
+            }
+        }
+    }
+
+    // A box is replaced by one that knows nothing; its neighbours link to it.
+    void restart(size_t i) {
+        auto fresh = std::make_unique<Box>();
+        fresh->address = box(i).address;
+        fresh->linked = box(i).linked;
+        m_boxes.at(i) = std::move(fresh);
+        for (const std::string& neighbour : box(i).linked) {
+            deliver(box(m_byAddress.at(neighbour)).exchange.greeting(m_now), box(i));
+        }
+    }
+
+    size_t inQuarantine(uint64_t request) {
+        return static_cast<size_t>(std::count_if(
+            m_boxes.begin(), m_boxes.end(),
+            [&](const auto& box) { return box->quarantine.timeLeft(request, m_now).has_value(); }));
+    }
+
+    // By the box that sent most.
+    uint64_t bytesSent() const {
+        uint64_t most = 0;
+        for (const auto& box : m_boxes) {
+            most = std::max(most, box->bytes);
+        }
+        return most;
+    }
+
+private:
+    void sendRound(Box& box) {
+        std::vector<std::string> linked;
+        std::copy_if(box.linked.begin(), box.linked.end(), std::back_inserter(linked),
+                     [&](const std::string& address) {
+                         return !m_boxes.at(m_byAddress.at(address))->older;
+                     });
+        for (const OutgoingFrame& outgoing : box.exchange.round(box.address, linked, m_now)) {
+            for (const std::string& to : outgoing.to) {
+                box.bytes += outgoing.frame.size();
+                deliver(outgoing.frame, *m_boxes.at(m_byAddress.at(to)));
+            }
+        }
+    }
+
+    void deliver(const std::optional<std::string>& frame, Box& to) const {
+        if (frame) {
+            const std::span<const char> bytes(*frame);
+            const auto body = DecodeFrame(bytes.subspan(kFrameHeaderSize)).value();
+            to.exchange.take(*body.AsCrashReports(), m_now + kDelay);
+        }
+    }
+
+    std::mt19937_64 m_random;
+    MonoTime m_now{100000};
+    std::vector<std::unique_ptr<Box>> m_boxes;
+    std::map<std::string, size_t> m_byAddress;
+};
+
+}  // namespace
+
+// Guards against boxes that go on sending a request whose crashes other boxes saw.
+TEST_CASE("Three crashes that three boxes saw are known at all boxes within connected_ms") {
+    const size_t boxes = GENERATE(2, 6, 87, 295, 340);
+    const uint64_t seed = GENERATE(1, 2, 3, 4, 5);
+    const Millis bound = boxes < 100 ? kConnectedSmall : kConnectedLarge;
+    Site site(boxes, seed);
+    for (int i = 0; i < 3; ++i) {
+        site.crash(site.anyBox(), kCrashing);
+        site.play(400);
+    }
+    site.play(bound - 400);
+    CHECK(site.inQuarantine(kCrashing) == boxes);
+}
+
+// Guards against news of the cause that wait behind those of the requests beside it.
+TEST_CASE("A request that crashes upstreams is found among many that are there only") {
+    Site site(295, 9);
+    uint64_t bystander = 1000;
+    for (int i = 0; i < 3; ++i) {
+        for (int other = 0; other < 40; ++other) {
+            site.crash(site.anyBox(), bystander++);
+        }
+        site.crash(site.anyBox(), kCrashing);
+        site.play(500);
+    }
+    site.play(kConnectedLarge - 500);
+    CHECK(site.inQuarantine(kCrashing) == site.size());
+    CHECK(site.inQuarantine(1000) == 0);
+}
+
+TEST_CASE("A box that starts or is linked anew is told of all requests in quarantine") {
+    Site site(6, 3);
+    for (int i = 0; i < 3; ++i) {
+        site.crash(0, kCrashing);
+        site.play(500);
+    }
+    for (size_t i = 0; i < site.size(); ++i) {
+        site.restart(i);
+        CHECK(site.inQuarantine(kCrashing) == site.size());
+    }
+}
+
+TEST_CASE("Boxes of an earlier build are passed over, and the others come to know all the same") {
+    Site site(6, 4);
+    site.box(1).older = site.box(4).older = true;
+    for (size_t box : {0, 2, 3}) {
+        site.crash(box, kCrashing);
+        site.play(300);
+    }
+    site.play(kConnectedSmall - 300);
+    CHECK(site.inQuarantine(kCrashing) == 4);
+    CHECK(site.box(1).quarantine.empty());
+}
+
+TEST_CASE("An answer that one box got ends the quarantine at all boxes") {
+    Site site(87, 5);
+    for (int i = 0; i < 3; ++i) {
+        site.crash(site.anyBox(), kCrashing);
+        site.play(1000);
+    }
+    REQUIRE(site.inQuarantine(kCrashing) == site.size());
+    site.box(7).exchange.noteAnswer(kCrashing, site.now());
+    site.play(kConnectedSmall);
+    CHECK(site.inQuarantine(kCrashing) == 0);
+}
+
+TEST_CASE("A crash each half second with ten requests beside it stays within the control bytes") {
+    Site site(295, 6);
+    constexpr Millis kTime = 20000;
+    uint64_t bystander = 1000;
+    for (Millis time = 0; time < kTime; time += 500) {
+        site.crash(site.anyBox(), kCrashing);
+        for (int other = 0; other < 10; ++other) {
+            site.crash(site.anyBox(), bystander++);
+        }
+        site.play(500);
+    }
+    CHECK(static_cast<double>(site.bytesSent()) / (kTime / 1000.0) <= kControlBytes);
+}
+
+TEST_CASE("A box without links keeps no news, and ages of any size are read") {
+    Site site(2, 7);
+    site.crash(0, kCrashing);
+    CHECK(site.box(0).exchange.round("10.0.0.0:1", {}, site.now()).empty());
+    CHECK_FALSE(site.box(0).exchange.hasNews());
+    wire::CrashReportsT reports;
+    reports.crashes.emplace_back(kCrashing, 1, 1, 4294967295U, 4294967295U);
+    reports.answered.emplace_back(kCrashing, 4294967295U);
+    CHECK(site.box(1).exchange.take(reports, site.now()).empty());
+    CHECK(site.box(1).quarantine.crashes(kCrashing) == 0);
+}
--- /dev/null
+++ b/tests/RequestQuarantineTest.cpp
@@ -0,0 +1,183 @@
+#include "include/health/RequestFingerprint.h"
+#include "include/health/RequestQuarantine.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace onyx;
+
+namespace {
+
+using Learned = RequestQuarantine::Learned;
+
+constexpr uint64_t kRequest = 7;
+
+// A crash at `at` of an upstream that had the request for `ran` milliseconds.
+CrashSighting Crash(uint32_t id, Millis at, Millis ran = 50, uint64_t request = kRequest) {
+    return {request, id, id, {at - ran}, {at}};
+}
+
+void NoteAll(RequestQuarantine& quarantine, const std::vector<CrashSighting>& crashes) {
+    for (const CrashSighting& crash : crashes) {
+        quarantine.noteCrash(crash, crash.crashed);
+    }
+}
+
+}  // namespace
+
+TEST_CASE("The same method, host, target, team and body are one request at every box") {
+    const uint64_t same = Fingerprint({"POST", "desk.example", "/chat/2f", "north", "body"});
+    CHECK(same == Fingerprint({"POST", "Desk.example:80", "/chat/2f", "north", "body"}));
+    CHECK(same != Fingerprint({"PUT", "desk.example", "/chat/2f", "north", "body"}));
+    CHECK(same != Fingerprint({"POST", "gate.example", "/chat/2f", "north", "body"}));
+    CHECK(same != Fingerprint({"POST", "desk.example", "/chat/2f?x", "north", "body"}));
+    CHECK(same != Fingerprint({"POST", "desk.example", "/chat/2f", "south", "body"}));
+    CHECK(same != Fingerprint({"POST", "desk.example", "/chat/2f", "north", "bodies"}));
+    CHECK(same != Fingerprint({"POST", "desk.example", "/chat/2f", "northbody", ""}));
+    CHECK(FingerprintText(0xab) == "00000000000000ab");
+}
+
+TEST_CASE("A request is in quarantine once three upstreams crashed under it one after the other") {
+    RequestQuarantine quarantine;
+    CHECK(quarantine.noteCrash(Crash(1, 1000), {1000}) == Learned::kSighting);
+    CHECK(quarantine.noteCrash(Crash(2, 2000), {2000}) == Learned::kSighting);
+    CHECK_FALSE(quarantine.timeLeft(kRequest, {2000}));
+    CHECK(quarantine.noteCrash(Crash(3, 3000), {3000}) == Learned::kQuarantine);
+    CHECK(quarantine.timeLeft(kRequest, {3000}) == RequestQuarantine::kMemory);
+    CHECK(quarantine.quarantined({3000}) == 1);
+    CHECK_FALSE(quarantine.timeLeft(kRequest + 1, {3000}));
+}
+
+// Guards against counting a crash twice that several boxes tell of.
+TEST_CASE("A crash that is told again counts once") {
+    RequestQuarantine quarantine;
+    for (int i = 0; i < 5; ++i) {
+        quarantine.noteCrash(Crash(1, 1000), {1000 + i});
+        quarantine.noteCrash(Crash(2, 2000), {2000 + i});
+    }
+    CHECK(quarantine.crashes(kRequest) == 2);
+    CHECK(quarantine.noteCrash(Crash(2, 2000), {2100}) == Learned::kNothing);
+}
+
+// Guards against taking a popular request for the cause when several upstreams are lost at once.
+TEST_CASE("Attempts that were under way together count as one crash") {
+    RequestQuarantine quarantine;
+    for (uint32_t i = 0; i < 20; ++i) {
+        quarantine.noteCrash(Crash(i, 1000 + i, 400), {1100});
+    }
+    CHECK(quarantine.crashes(kRequest) == 1);
+    quarantine.noteCrash(Crash(30, 2000), {2000});
+    quarantine.noteCrash(Crash(31, 3000), {3000});
+    CHECK(quarantine.timeLeft(kRequest, {3000}));
+}
+
+// Guards against losing count where a box hears of a crash later than it happened.
+TEST_CASE("A crash that is told some milliseconds late still comes before the next attempt") {
+    RequestQuarantine quarantine;
+    constexpr Millis kLate = 15;
+    NoteAll(quarantine,
+            {Crash(1, 1000 + kLate), Crash(2, 1050), Crash(3, 1100 + kLate), Crash(4, 1150)});
+    CHECK(quarantine.crashes(kRequest) == 4);
+}
+
+// Guards against a quarantine of what upstreams can run.
+TEST_CASE("A good answer clears a request of the crashes before it") {
+    RequestQuarantine quarantine;
+    NoteAll(quarantine, {Crash(1, 1000), Crash(2, 2000)});
+    CHECK(quarantine.noteAnswer(kRequest, {2500}, {2500}));
+    CHECK_FALSE(quarantine.noteAnswer(kRequest + 1, {2500}, {2500}));
+    quarantine.noteCrash(Crash(3, 3000), {3000});
+    CHECK(quarantine.crashes(kRequest) == 1);
+    // Told late by a box that had not heard of the answer.
+    CHECK(quarantine.noteCrash(Crash(4, 2200), {3100}) == Learned::kNothing);
+    NoteAll(quarantine, {Crash(5, 4000), Crash(6, 5000)});
+    CHECK(quarantine.timeLeft(kRequest, {5000}));
+    CHECK(quarantine.noteAnswer(kRequest, {5500}, {5500}));
+    CHECK_FALSE(quarantine.timeLeft(kRequest, {5500}));
+}
+
+TEST_CASE("A quarantine ends ten minutes after the last crash, and suspicions with it") {
+    RequestQuarantine quarantine;
+    NoteAll(quarantine, {Crash(1, 1000), Crash(2, 2000), Crash(3, 3000)});
+    const MonoTime end = MonoTime{3000} + RequestQuarantine::kMemory;
+    CHECK(quarantine.timeLeft(kRequest, end - 1) == 1);
+    CHECK_FALSE(quarantine.timeLeft(kRequest, end));
+    CHECK(quarantine.noteCrash(Crash(4, 3000), end) == Learned::kNothing);
+    quarantine.expire(end);
+    CHECK(quarantine.empty());
+}
+
+TEST_CASE("Crashes that lie further apart than the memory do not add up") {
+    RequestQuarantine quarantine;
+    const Millis apart = RequestQuarantine::kMemory * 2 / 3;
+    NoteAll(quarantine, {Crash(1, apart), Crash(2, 2 * apart), Crash(3, 3 * apart)});
+    CHECK(quarantine.crashes(kRequest) == 2);
+}
+
+// Guards against a cause that is never found since its copies always overlap.
+TEST_CASE("Copies that are under way all the time are told from one loss") {
+    RequestQuarantine quarantine;
+    for (uint32_t i = 0; i < 40; ++i) {
+        quarantine.noteCrash(Crash(i, 1000 + i * 60, 150), {1000 + i * 60});
+    }
+    CHECK(quarantine.timeLeft(kRequest, {3400}));
+}
+
+// Guards against counting one crash for each of the attempts that were there.
+TEST_CASE("Attempts that ended with one upstream count as one crash") {
+    RequestQuarantine quarantine;
+    for (uint32_t i = 0; i < 6; ++i) {
+        quarantine.noteCrash({kRequest, i, 77, {998}, {1000 + i}}, {1010});
+    }
+    CHECK(quarantine.crashes(kRequest) == 1);
+}
+
+// Guards against losing count of crashes that follow each other within a millisecond.
+TEST_CASE("Upstreams that crash at once are counted one by one") {
+    RequestQuarantine quarantine;
+    NoteAll(quarantine, {Crash(1, 1001, 0), Crash(2, 1001, 1), Crash(3, 1001, 0)});
+    CHECK(quarantine.timeLeft(kRequest, {1001}));
+}
+
+TEST_CASE("Whether a request is in quarantine does not depend on the order of what is told") {
+    std::mt19937 random(5);
+    const MonoTime now{60000};
+    size_t inQuarantine = 0;
+    for (int round = 0; round < 200; ++round) {
+        std::vector<CrashSighting> crashes;
+        for (uint32_t i = 0; i < 1 + random() % 12; ++i) {
+            const auto at = static_cast<Millis>(1000 + random() % 1500);
+            crashes.push_back(Crash(i, at, static_cast<Millis>(random() % 900)));
+        }
+        const auto known = [&] {
+            RequestQuarantine quarantine;
+            for (const CrashSighting& crash : crashes) {
+                quarantine.noteCrash(crash, now);
+            }
+            return quarantine.timeLeft(kRequest, now).has_value();
+        };
+        const bool before = known();
+        inQuarantine += before ? 1 : 0;
+        std::shuffle(crashes.begin(), crashes.end(), random);
+        CHECK(known() == before);
+    }
+    CHECK(inQuarantine > 20);
+    CHECK(inQuarantine < 180);
+}
+
+TEST_CASE("The memory is bounded, and what has crashed most is kept") {
+    RequestQuarantine quarantine;
+    NoteAll(quarantine, {Crash(1, 1000), Crash(2, 2000), Crash(3, 3000)});
+    for (uint32_t i = 0; i < 2 * RequestQuarantine::kMaxRequests; ++i) {
+        quarantine.noteCrash(Crash(100 + i, 4000, 50, 1000 + i), {4000});
+    }
+    CHECK(quarantine.timeLeft(kRequest, {4000}));
+    CHECK(quarantine.sightings(2 * RequestQuarantine::kMaxRequests, {4000}).size() <=
+          RequestQuarantine::kMaxRequests * RequestQuarantine::kMaxSightings);
+    const auto most = quarantine.sightings(3, {4000});
+    REQUIRE(most.size() == 3);
+    CHECK(std::all_of(most.begin(), most.end(),
+                      [](const CrashSighting& sighting) { return sighting.request == kRequest; }));
+}
