Count the time in which a machine is suspended

Callers: a key that was removed while a box was suspended passed there when it was back, and requests went out on connections that their upstreams had long closed. Cause: ages, bounds and deadlines were read from the steady clock, which stands still meanwhile; configuration, list of upstreams and kept connections seemed as young as before.

All times are read from CLOCK_BOOTTIME now, in one place (SystemClock). Timers stay on the steady clock; the one that took an absolute time takes what is left. Ruled out: the time of day, which jumps.

Before, with CLOCK_MONOTONIC in that place: build/onyx-tests 'What a box knew*,A request that waited*,Connections kept from*': 6 of 15 assertions failed (a request with the removed key ran). After: none; unit tests 258 of 258. The stand-in SuspendBox shifts the clocks that count a suspension, and no other.

--- a/include/base/Time.h
+++ b/include/base/Time.h
@@ -9,7 +9,8 @@
 // Milliseconds. A span, never a point in time.
 using Millis = int64_t;
 
-// A point on a box's monotonic clock. Comparable only with points of the same box.
+// A point on a box's monotonic clock, which counts suspensions. Comparable only with points of the
+// same box.
 struct MonoTime {
     Millis ms = 0;
 
--- a/include/net/Net.h
+++ b/include/net/Net.h
@@ -23,7 +23,9 @@
 template <class T = void>
 using Task = asio::awaitable<T>;
 
-// Reads both clocks of this box. Thread safety: any thread.
+// Reads both clocks of this box; the monotonic one counts the time in which the machine is
+// suspended. Timers do not: those of a suspended box run on when it is back.
+// Thread safety: any thread.
 Now ReadClocks();
 
 // Parses "ip:port" (IPv4) or "[ip]:port" (IPv6). Names are not looked up.
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -23,10 +23,6 @@
 // A caller whose machine acknowledges nothing for this long is dropped.
 constexpr Millis kUserTimeout = 10000;
 
-std::chrono::steady_clock::time_point ClockPoint(MonoTime time) {
-    return std::chrono::steady_clock::time_point(std::chrono::milliseconds(time.ms));
-}
-
 ReadEnd EndOf(const beast::error_code& ec) {
     const bool large = ec == http::error::body_limit || ec == http::error::header_limit ||
                        ec == http::error::buffer_overflow;
@@ -65,7 +61,8 @@
 Task<bool> CallerConnection::readMore(MonoTime until) {
     startRead();
     while (m_reading && ReadClocks().mono < until && !m_waitStopped) {
-        m_readDone.expires_at(ClockPoint(until));
+        // Relative: timers run on another clock, which stands still while the box is suspended.
+        m_readDone.expires_after(std::chrono::milliseconds(until - ReadClocks().mono));
         beast::error_code ec;
         co_await m_readDone.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
--- a/src/net/Net.cpp
+++ b/src/net/Net.cpp
@@ -1,5 +1,6 @@
 #include "include/net/Net.h"
 
+#include "include/net/SystemClock.h"
 #include "include/observe/Events.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,12 +23,7 @@
 }  // namespace
 
 Now ReadClocks() {
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
-    const auto mono = std::chrono::steady_clock::now().time_since_epoch();
-    const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    return {{duration_cast<milliseconds>(mono).count()},
-            {duration_cast<milliseconds>(wall).count()}};
+    return {{ReadSystemClock(CLOCK_BOOTTIME)}, {ReadSystemClock(CLOCK_REALTIME)}};
 }
 
 Result<Endpoint> ParseEndpoint(std::string_view text) {
