Look up to three times whether an upstream's port is closed

The packet of a look may be lost, and a crash would not be counted; a look that gets no answer is made again. By reading; there is no test of it, since loopback loses nothing.

--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -15,7 +15,8 @@
 
 // All times in milliseconds.
 constexpr Millis kSettle = 30;           // Until a process that ends has closed its port too.
-constexpr Millis kConnectTimeout = 300;  // A port that does not answer by then tells nothing.
+constexpr Millis kConnectTimeout = 300;  // Of one look.
+constexpr int kLooks = 3;                // The packets of a look may be lost.
 
 }  // namespace
 
@@ -46,10 +47,12 @@
         co_return false;
     }
     const Endpoint endpoint = peer.value();
-    beast::tcp_stream stream(m_io);
-    stream.expires_after(std::chrono::milliseconds(kConnectTimeout));
-    beast::error_code ec;
-    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    beast::error_code ec = beast::error::timeout;
+    for (int i = 0; i < kLooks && ec == beast::error::timeout; ++i) {
+        beast::tcp_stream stream(m_io);
+        stream.expires_after(std::chrono::milliseconds(kConnectTimeout));
+        co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    }
     co_return ec == asio::error::connection_refused;
 }
 
