--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -50,8 +50,11 @@
     bool declined = false;     // It says that it did not run the request.
     bool misdirected = false;  // It is not the upstream that was meant.
     bool authentic = false;    // It carries the upstream's mark.
+    bool leaving = false;      // It is about to end.
     std::optional<int> load;   // Requests running and waiting there.
-    std::string unreadable;    // Names a header that cannot be read; empty: none.
+    // It wants no requests from this box for so long.
+    std::optional<Millis> backoff;
+    std::string unreadable;  // Names a header that cannot be read; empty: none.
     std::optional<Millis> keepAlive;
 };
 
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -27,6 +27,8 @@
     bool unreachable = false;    // The upstream's machine gave no sign of life.
     bool upstreamEnded = false;  // The upstream closed or started again while it ran the request.
     std::optional<uint64_t> fingerprint;  // Of the request, where the upstream ended.
+    bool leaving = false;                 // The upstream's answer says that it is about to end.
+    std::optional<Millis> backoff;        // It asks for no requests for so long.
     Millis took = 0;
     ConnectionReport connection;
 };
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -32,6 +32,8 @@
     report.unreachable = m_exchange->unreachable();
     report.took = ReadClocks().mono - m_start;
     report.connection = m_exchange->connection();
+    report.leaving = m_exchange->facts().leaving;
+    report.backoff = m_exchange->facts().backoff;
     const bool broke = ended.end == AttemptEnd::kUnclear || ended.end == AttemptEnd::kStreamBroken;
     report.upstreamEnded =
         m_sent && broke && (report.connection.end == ConnectionEnd::kPeer || isOfPast());
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -92,6 +92,8 @@
               {"ended_by", std::string(ConnectionEndName(connection.end))},
               {"unacknowledged", NumberOr(connection.unacknowledged, "unknown")},
               {"fingerprint", report.fingerprint ? FingerprintText(*report.fingerprint) : ""},
+              {"leaving", YesNo(report.leaving)},
+              {"backoff_ms", NumberOr(report.backoff, "none")},
               {"retried", YesNo(verdict.step == NextStep::kRetry)},
               {"why", std::string(StepReasonName(verdict.reason))}});
 }
