Send an upstream no requests while it asks for none

Cause: the header was not read, and a declined attempt says nothing of an upstream's health, so the next request preferred the same upstream. Ruled out: an override by ejections (no line 2101), requests under way (they go on for three seconds).

UpstreamAvoidance remembers, for the start of the upstream that asked, until when it wants none; placement leaves it out, also where that leaves no upstream: callers are told then when the first one takes requests again. The longest wish holds, no good answer ends it, another start does, and a lapsed entry does not. Only this box: others were not asked.

--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -87,6 +87,10 @@
     // An attempt led to the ejection of its upstream. Preconditions: none.
     void ejected(const std::string& upstream, AttemptEnd after);
 
+    // An upstream gets no requests from this box for so long, since it asked for that.
+    // Preconditions: none.
+    void backsOff(const std::string& upstream, Millis time);
+
     // An upstream crashed with this attempt under way. Preconditions: none.
     void crashed(const std::string& upstream, const BrokenAttempt& attempt);
 
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "include/gateway/UpstreamPool.h"
+#include "include/health/UpstreamAvoidance.h"
 #include "include/health/UpstreamHealth.h"
 #include "include/placement/CacheDirectory.h"
 #include "include/placement/PeerCounts.h"
@@ -87,6 +88,10 @@
     // from now on. Preconditions: sent <= now, which does not fall.
     bool noteSign(const std::string& id, UpstreamSign sign, MonoTime sent, MonoTime now);
 
+    // What upstreams ask for in their answers. Preconditions: none.
+    UpstreamAvoidance& avoidance() { return m_avoidance; }
+    const UpstreamAvoidance& avoidance() const { return m_avoidance; }
+
     // An upstream began to answer a prompt with these shared parts, so it has read them.
     // Preconditions: times do not fall.
     void notePrompt(std::span<const std::string> sharedParts, const std::string& id, MonoTime now);
@@ -152,6 +157,7 @@
     void endLife(const Incarnation& upstream);
 
     UpstreamHealth m_health;
+    UpstreamAvoidance m_avoidance;
     UpstreamLoads m_loads;
     PeerCounts m_peerCounts;
     CacheDirectory m_caches;
--- /dev/null
+++ b/include/health/UpstreamAvoidance.h
@@ -0,0 +1,51 @@
+// Decides which upstreams get no request from this box because they asked for that in an answer.
+// Unlike an ejection this holds also where it leaves no upstream at all, and no good answer ends
+// it: only its time, or another start of the upstream.
+//
+// Inputs: what answers said, for the incarnation that said it. Kept also while an upstream is not
+// listed, since entries lapse while the store is away.
+#pragma once
+
+#include "include/base/Time.h"
+#include "include/routing/UpstreamTable.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace onyx {
+
+// Not thread safe: one task owns it.
+class UpstreamAvoidance {
+public:
+    static constexpr size_t kMaxUpstreams = 4096;  // Remembered; beyond it the oldest go.
+
+    // The upstream wants no requests until `until`; true if this is news.
+    // Preconditions: times do not fall.
+    bool noteBackoff(const Incarnation& upstream, MonoTime until, MonoTime now);
+
+    // How long the upstream wants no requests, in milliseconds; nothing if it takes them.
+    // Preconditions: as above.
+    std::optional<Millis> backoffLeft(const Incarnation& upstream, MonoTime now) const;
+
+    // Whether the upstream is to get no request. Preconditions: as above.
+    bool avoids(const Incarnation& upstream, MonoTime now) const {
+        return backoffLeft(upstream, now).has_value();
+    }
+
+private:
+    struct Record {
+        int64_t startedMs = 0;  // Of the incarnation that asked.
+        MonoTime backoffUntil;
+        MonoTime noted;
+    };
+
+    const Record* find(const Incarnation& upstream) const;
+    Record* recordOf(const Incarnation& upstream, MonoTime now);
+    void makeRoom();
+
+    std::unordered_map<std::string, Record> m_records;  // By id.
+};
+
+}  // namespace onyx
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -58,6 +58,7 @@
     kUpstreamsListed = 2103,
     kUpstreamRestarted = 2104,
     kUpstreamCrashed = 2105,
+    kUpstreamBacksOff = 2106,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -116,6 +116,11 @@
     const UpstreamFacts& facts = m_exchange->facts();
     const std::string& upstream = m_place.upstream.id;
     const MonoTime now = ReadClocks().mono;
+    const Incarnation incarnation = m_place.upstream.incarnation();
+    if (facts.backoff &&
+        m_context.records.avoidance().noteBackoff(incarnation, now + *facts.backoff, now)) {
+        m_context.log.backsOff(upstream, *facts.backoff);
+    }
     // With the head of a good answer the upstream has read the prompt.
     if (facts.authentic) {
         m_context.records.notePrompt(m_request.facts.sharedParts, upstream, now);
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -120,7 +120,10 @@
                                          const UpstreamList& upstreams,
                                          const UpstreamRecords& records,
                                          const PlacementQuestion& question, MonoTime now) {
-    const auto takingWork = upstreams.table().takingWork(question.service);
+    auto takingWork = upstreams.table().takingWork(question.service);
+    std::erase_if(takingWork, [&](const Upstream* upstream) {
+        return records.avoidance().avoids(upstream->incarnation(), now);
+    });
     const ServiceLoads service = LoadsOf(takingWork, records, now);
     const auto candidates =
         CandidatesOf(takingWork, settings.zone, records, question, service, now);
@@ -145,4 +148,17 @@
     return place;
 }
 
+std::optional<Millis> BackoffOf(const UpstreamList& upstreams, const UpstreamRecords& records,
+                                const ServiceId& service, MonoTime now) {
+    std::optional<Millis> shortest;
+    for (const Upstream* upstream : upstreams.table().takingWork(service)) {
+        const auto left = records.avoidance().backoffLeft(upstream->incarnation(), now);
+        if (!left) {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest.value_or(*left), *left);
+    }
+    return shortest;
+}
+
 }  // namespace onyx
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -171,7 +171,12 @@
     }
     const RefusalReason failed = m_timedOut ? RefusalReason::kTimedOut : RefusalReason::kUnclear;
     const bool notRun = verdict.step == NextStep::kRefuse;
-    const Refusal refusal = MakeRefusal(notRun ? RefusalReason::kNoUpstream : failed);
+    Refusal refusal = MakeRefusal(notRun ? RefusalReason::kNoUpstream : failed);
+    const auto backoff =
+        BackoffOf(m_context.upstreams, m_context.records, m_admission.service, ReadClocks().mono);
+    if (notRun && backoff) {
+        refusal.retryAfter = std::max(*backoff, kRetryAfterNoUpstream);
+    }
     co_return co_await refuse(refusal);
 }
 
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -98,6 +98,12 @@
               {"why", std::string(StepReasonName(verdict.reason))}});
 }
 
+void RequestLog::backsOff(const std::string& upstream, Millis time) {
+    m_metrics.count("onyx_upstream_backoffs_total");
+    logEvent(Event::kUpstreamBacksOff,
+             {{"upstream", upstream}, {"backoff_ms", std::to_string(time)}});
+}
+
 void RequestLog::crashed(const std::string& upstream, const BrokenAttempt& attempt) {
     m_metrics.count("onyx_upstream_crashes_total");
     logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
--- /dev/null
+++ b/src/health/UpstreamAvoidance.cpp
@@ -0,0 +1,58 @@
+#include "include/health/UpstreamAvoidance.h"
+
+#include <algorithm>
+
+namespace onyx {
+
+// A start that is not known counts as the one that asked.
+const UpstreamAvoidance::Record* UpstreamAvoidance::find(const Incarnation& upstream) const {
+    const auto it = m_records.find(upstream.id);
+    const bool later = it != m_records.end() && upstream.startedMs > it->second.startedMs;
+    return it == m_records.end() || later ? nullptr : &it->second;
+}
+
+// The record of what this start asks for; nothing if a later one has asked since.
+UpstreamAvoidance::Record* UpstreamAvoidance::recordOf(const Incarnation& upstream, MonoTime now) {
+    if (!m_records.contains(upstream.id) && m_records.size() >= kMaxUpstreams) {
+        makeRoom();
+    }
+    Record& record = m_records[upstream.id];
+    if (upstream.startedMs != 0 && upstream.startedMs < record.startedMs) {
+        return nullptr;
+    }
+    if (upstream.startedMs > record.startedMs) {
+        record = {upstream.startedMs, {}, now};
+    }
+    record.noted = now;
+    return &record;
+}
+
+void UpstreamAvoidance::makeRoom() {
+    m_records.erase(std::min_element(
+        m_records.begin(), m_records.end(),
+        [](const auto& a, const auto& b) { return a.second.noted < b.second.noted; }));
+}
+
+bool UpstreamAvoidance::noteBackoff(const Incarnation& upstream, MonoTime until, MonoTime now) {
+    if (until <= now) {
+        return false;
+    }
+    Record* record = recordOf(upstream, now);
+    if (record == nullptr) {
+        return false;
+    }
+    const bool isNew = record->backoffUntil <= now;
+    record->backoffUntil = std::max(record->backoffUntil, until);
+    return isNew;
+}
+
+std::optional<Millis> UpstreamAvoidance::backoffLeft(const Incarnation& upstream,
+                                                     MonoTime now) const {
+    const Record* record = find(upstream);
+    if (record == nullptr || record->backoffUntil <= now) {
+        return std::nullopt;
+    }
+    return record->backoffUntil - now;
+}
+
+}  // namespace onyx
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -63,6 +63,7 @@
     {Event::kUpstreamsListed, "upstreams-listed"},
     {Event::kUpstreamRestarted, "upstream-restarted"},
     {Event::kUpstreamCrashed, "upstream-crashed"},
+    {Event::kUpstreamBacksOff, "upstream-backs-off"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
--- /dev/null
+++ b/tests/UpstreamAvoidanceTest.cpp
@@ -0,0 +1,55 @@
+#include "include/health/UpstreamAvoidance.h"
+
+#include <catch2/catch.hpp>
+
+using namespace onyx;
+
+namespace {
+
+const Incarnation kUpstream{"a", 1000};
+const Incarnation kRestarted{"a", 2000};
+
+}  // namespace
+
+TEST_CASE("An upstream gets no request until the time that it asked for is over") {
+    UpstreamAvoidance avoidance;
+    CHECK_FALSE(avoidance.avoids(kUpstream, {0}));
+    CHECK(avoidance.noteBackoff(kUpstream, {3000}, {0}));
+    CHECK(avoidance.avoids(kUpstream, {2999}));
+    CHECK(avoidance.backoffLeft(kUpstream, {1000}) == 2000);
+    CHECK_FALSE(avoidance.avoids(kUpstream, {3000}));
+    CHECK_FALSE(avoidance.avoids({"b", 1000}, {1}));
+}
+
+// Guards against a later answer that cuts short what an earlier one asked for.
+TEST_CASE("Of several wishes the longest holds") {
+    UpstreamAvoidance avoidance;
+    CHECK(avoidance.noteBackoff(kUpstream, {3000}, {0}));
+    CHECK_FALSE(avoidance.noteBackoff(kUpstream, {1500}, {500}));
+    CHECK(avoidance.avoids(kUpstream, {2999}));
+    CHECK_FALSE(avoidance.noteBackoff(kUpstream, {4000}, {600}));
+    CHECK(avoidance.avoids(kUpstream, {3999}));
+    CHECK_FALSE(avoidance.noteBackoff(kUpstream, {5000}, {5000}));
+}
+
+TEST_CASE("Another start of an upstream wants what it says itself") {
+    UpstreamAvoidance avoidance;
+    avoidance.noteBackoff(kUpstream, {9000}, {0});
+    CHECK_FALSE(avoidance.avoids(kRestarted, {1}));
+    CHECK(avoidance.avoids({"a", 0}, {1}));
+    CHECK(avoidance.noteBackoff(kRestarted, {5000}, {100}));
+    CHECK_FALSE(avoidance.avoids(kRestarted, {5000}));
+    // An answer of the start before, told late.
+    CHECK_FALSE(avoidance.noteBackoff(kUpstream, {6000}, {5100}));
+    CHECK_FALSE(avoidance.avoids(kRestarted, {5100}));
+}
+
+TEST_CASE("The wishes of a bounded number of upstreams are remembered, the newest ones") {
+    UpstreamAvoidance avoidance;
+    for (size_t i = 0; i < 2 * UpstreamAvoidance::kMaxUpstreams; ++i) {
+        const auto now = static_cast<Millis>(i);
+        avoidance.noteBackoff({std::to_string(i), 1}, {1000000}, {now});
+    }
+    CHECK_FALSE(avoidance.avoids({"0", 1}, {10000}));
+    CHECK(avoidance.avoids({std::to_string(2 * UpstreamAvoidance::kMaxUpstreams - 1), 1}, {10000}));
+}
