Send an upstream that says it leaves no new request

A replica that leaves says so in all its answers (Server-Leaving), and before this the box went on sending until the store said so: with the store away for as long as the outage lasted, after which the replica has ended under them (DRAIN).

UpstreamAvoidance now also remembers that an upstream leaves, for the start that said so and for good: it gets no new request from this box, its kept connections are closed, and its entry that lapses and comes back changes nothing. What runs there goes on to its end.

--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -56,8 +56,8 @@
                                          const UpstreamRecords& records,
                                          const PlacementQuestion& question, MonoTime now);
 
-// How long all upstreams of a service that take work ask for no requests, in milliseconds; nothing
-// if there is none, or one that takes them. Preconditions and thread safety as above.
+// How long all upstreams of a service that stay ask for no requests, in milliseconds; nothing if
+// there is none, or one that takes them. Preconditions and thread safety as above.
 std::optional<Millis> BackoffOf(const UpstreamList& upstreams, const UpstreamRecords& records,
                                 const ServiceId& service, MonoTime now);
 
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -91,6 +91,9 @@
     // Preconditions: none.
     void backsOff(const std::string& upstream, Millis time);
 
+    // An upstream said in an answer that it is about to end. Preconditions: none.
+    void leaves(const std::string& upstream);
+
     // An upstream crashed with this attempt under way. Preconditions: none.
     void crashed(const std::string& upstream, const BrokenAttempt& attempt);
 
--- a/include/health/UpstreamAvoidance.h
+++ b/include/health/UpstreamAvoidance.h
@@ -1,6 +1,6 @@
 // Decides which upstreams get no request from this box because they asked for that in an answer.
 // Unlike an ejection this holds also where it leaves no upstream at all, and no good answer ends
-// it: only its time, or another start of the upstream.
+// it: only its time, or another start of the upstream. One that leaves gets none for good.
 //
 // Inputs: what answers said, for the incarnation that said it. Kept also while an upstream is not
 // listed, since entries lapse while the store is away.
@@ -25,19 +25,25 @@
     // Preconditions: times do not fall.
     bool noteBackoff(const Incarnation& upstream, MonoTime until, MonoTime now);
 
+    // The upstream is about to end; true if this is news. Preconditions: as above.
+    bool noteLeaving(const Incarnation& upstream, MonoTime now);
+
     // How long the upstream wants no requests, in milliseconds; nothing if it takes them.
     // Preconditions: as above.
     std::optional<Millis> backoffLeft(const Incarnation& upstream, MonoTime now) const;
 
     // Whether the upstream is to get no request. Preconditions: as above.
     bool avoids(const Incarnation& upstream, MonoTime now) const {
-        return backoffLeft(upstream, now).has_value();
+        return isLeaving(upstream) || backoffLeft(upstream, now).has_value();
     }
+    // Whether it said that it is about to end. Preconditions: none.
+    bool isLeaving(const Incarnation& upstream) const;
 
 private:
     struct Record {
         int64_t startedMs = 0;  // Of the incarnation that asked.
         MonoTime backoffUntil;
+        bool leaving = false;
         MonoTime noted;
     };
 
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -59,6 +59,7 @@
     kUpstreamRestarted = 2104,
     kUpstreamCrashed = 2105,
     kUpstreamBacksOff = 2106,
+    kUpstreamLeaves = 2107,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -121,6 +121,10 @@
         m_context.records.avoidance().noteBackoff(incarnation, now + *facts.backoff, now)) {
         m_context.log.backsOff(upstream, *facts.backoff);
     }
+    if (facts.leaving && m_context.records.avoidance().noteLeaving(incarnation, now)) {
+        m_context.records.dropConnections(upstream);
+        m_context.log.leaves(upstream);
+    }
     // With the head of a good answer the upstream has read the prompt.
     if (facts.authentic) {
         m_context.records.notePrompt(m_request.facts.sharedParts, upstream, now);
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -152,7 +152,11 @@
                                 const ServiceId& service, MonoTime now) {
     std::optional<Millis> shortest;
     for (const Upstream* upstream : upstreams.table().takingWork(service)) {
-        const auto left = records.avoidance().backoffLeft(upstream->incarnation(), now);
+        const Incarnation incarnation = upstream->incarnation();
+        if (records.avoidance().isLeaving(incarnation)) {
+            continue;
+        }
+        const auto left = records.avoidance().backoffLeft(incarnation, now);
         if (!left) {
             return std::nullopt;
         }
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -104,6 +104,10 @@
              {{"upstream", upstream}, {"backoff_ms", std::to_string(time)}});
 }
 
+void RequestLog::leaves(const std::string& upstream) {
+    logEvent(Event::kUpstreamLeaves, {{"upstream", upstream}});
+}
+
 void RequestLog::crashed(const std::string& upstream, const BrokenAttempt& attempt) {
     m_metrics.count("onyx_upstream_crashes_total");
     logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -259,7 +259,7 @@
 bool UpstreamExchange::keep() {
     const Upstream* upstream = m_context.upstreams.table().find(m_upstream.id);
     const bool gone = upstream == nullptr || upstream->startedMs != m_upstream.startedMs;
-    if (!isClean() || gone || upstream->draining) {
+    if (!isClean() || gone || upstream->draining || m_facts.leaving) {
         return false;
     }
     if (m_keepAliveOn && StopKeepAlive(m_connection->stream.socket())) {
--- a/src/health/UpstreamAvoidance.cpp
+++ b/src/health/UpstreamAvoidance.cpp
@@ -21,7 +21,7 @@
         return nullptr;
     }
     if (upstream.startedMs > record.startedMs) {
-        record = {upstream.startedMs, {}, now};
+        record = {upstream.startedMs, {}, false, now};
     }
     record.noted = now;
     return &record;
@@ -46,6 +46,20 @@
     return isNew;
 }
 
+bool UpstreamAvoidance::noteLeaving(const Incarnation& upstream, MonoTime now) {
+    Record* record = recordOf(upstream, now);
+    if (record == nullptr || record->leaving) {
+        return false;
+    }
+    record->leaving = true;
+    return true;
+}
+
+bool UpstreamAvoidance::isLeaving(const Incarnation& upstream) const {
+    const Record* record = find(upstream);
+    return record != nullptr && record->leaving;
+}
+
 std::optional<Millis> UpstreamAvoidance::backoffLeft(const Incarnation& upstream,
                                                      MonoTime now) const {
     const Record* record = find(upstream);
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -64,6 +64,7 @@
     {Event::kUpstreamRestarted, "upstream-restarted"},
     {Event::kUpstreamCrashed, "upstream-crashed"},
     {Event::kUpstreamBacksOff, "upstream-backs-off"},
+    {Event::kUpstreamLeaves, "upstream-leaves"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
--- a/tests/UpstreamAvoidanceTest.cpp
+++ b/tests/UpstreamAvoidanceTest.cpp
@@ -44,6 +44,21 @@
     CHECK_FALSE(avoidance.avoids(kRestarted, {5100}));
 }
 
+TEST_CASE("An upstream that leaves gets no request for good, another start of it does") {
+    UpstreamAvoidance avoidance;
+    CHECK(avoidance.noteLeaving(kUpstream, {0}));
+    CHECK_FALSE(avoidance.noteLeaving(kUpstream, {10}));
+    constexpr Millis kDay = Millis{86400} * 1000;
+    CHECK(avoidance.avoids(kUpstream, {kDay}));
+    CHECK(avoidance.isLeaving(kUpstream));
+    CHECK_FALSE(avoidance.backoffLeft(kUpstream, {0}));
+    CHECK_FALSE(avoidance.avoids(kRestarted, {0}));
+    // An answer of the start before, told late.
+    CHECK(avoidance.noteBackoff(kRestarted, {500}, {20}));
+    CHECK_FALSE(avoidance.noteLeaving(kUpstream, {30}));
+    CHECK_FALSE(avoidance.isLeaving(kRestarted));
+}
+
 TEST_CASE("The wishes of a bounded number of upstreams are remembered, the newest ones") {
     UpstreamAvoidance avoidance;
     for (size_t i = 0; i < 2 * UpstreamAvoidance::kMaxUpstreams; ++i) {
