--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -46,7 +46,7 @@
     if (peer.has_error()) {
         co_return false;
     }
-    const Endpoint endpoint = peer.value();
+    const Endpoint& endpoint = peer.value();
     beast::error_code ec = beast::error::timeout;
     for (int i = 0; i < kLooks && ec == beast::error::timeout; ++i) {
         beast::tcp_stream stream(m_io);
