--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -40,9 +40,9 @@
                                        // where the request may have run.
 };
 
-// Times after which callers may retry, in milliseconds. They are choices, not measured: a caller
-// that comes back to a fleet with a fault should find it mended, or another box, and not be kept
-// waiting for longer than most faults last.
+// Times after which callers may retry, in milliseconds. A caller that comes back to a fleet with a
+// fault should find it mended, or another box, and not be kept waiting for longer than most faults
+// last.
 //
 // The balancer already sends to the other boxes.
 inline constexpr Millis kRetryAfterDraining = 0;
--- a/include/admission/RetryAllowance.h
+++ b/include/admission/RetryAllowance.h
@@ -18,7 +18,7 @@
 // This box's part of the budget.
 struct RetryAllowanceSettings {
     // The part of the budget that is planned with. The rest is for requests whose first attempt
-    // leaves the window before their retry does, and for boxes that are not known yet. A choice.
+    // leaves the window before their retry does, and for boxes that are not known yet.
     static constexpr double kPlannedPart = 0.75;
     // The slack is divided by this many boxes at least, however few are known: a box that has just
     // started knows none.
--- a/include/freshness/KnowledgeSpread.h
+++ b/include/freshness/KnowledgeSpread.h
@@ -47,7 +47,7 @@
 };
 
 // While other boxes are asked for younger knowledge, they are asked once in this time, in
-// milliseconds. A choice: a fraction of what keys may be used for after the store's last answer.
+// milliseconds. A fraction of what keys may be used for after the store's last answer.
 inline constexpr Millis kAskPeriod = 400;
 // The same while a box knows nothing: it refuses callers meanwhile.
 inline constexpr Millis kFirstAskPeriod = 100;
--- a/include/freshness/PeerKnowledge.h
+++ b/include/freshness/PeerKnowledge.h
@@ -23,10 +23,10 @@
 // Not thread safe: one task owns it.
 class PeerKnowledge {
 public:
-    // Questions that still may be answered. A choice: some 20 s of them.
+    // Questions that still may be answered.
     static constexpr size_t kMaxRounds = 64;
     // Boxes that are asked in one round: enough to meet one that the store answers when a third of
-    // them is cut off. A choice.
+    // them is cut off.
     static constexpr size_t kMaxAsked = 8;
     // A box that was asked for more than ages and has not answered for this long is given up on.
     static constexpr Millis kFetchTimeout = 1000;
--- a/include/freshness/StalenessPolicy.h
+++ b/include/freshness/StalenessPolicy.h
@@ -21,7 +21,6 @@
 
 // Keys pass on a stale configuration until it is older than `maxAge`, in milliseconds.
 struct ServeStale {
-    // A choice: longer than a store is usually away, shorter than a shift of operators.
     static constexpr Millis kDefaultMaxAge = 600000;
     Millis maxAge = kDefaultMaxAge;
 };
--- a/include/freshness/StoreDuty.h
+++ b/include/freshness/StoreDuty.h
@@ -27,8 +27,7 @@
     Millis maxAge = 1300;  // and the store itself once it is older than this.
     // A box that has just started waits for other boxes' answers between these times, by chance:
     // where some know, they answer within a few round trips. Not longer: after the loss of all
-    // boxes each second without knowledge is a second of refusals (with 500 to 1,500 it cost 1.6 in
-    // 100 requests of a day with such an end, trial), and that is worth more than two calls a box.
+    // boxes each second without knowledge is a second of refusals.
     Millis minStartWait = 50;
     Millis maxStartWait = 150;
     // Where the store lists no upstream, or no configuration yet, nobody could be served and nobody
@@ -38,15 +37,14 @@
     // A box without knowledge calls freely for this long after that wait, then in turn: if the
     // store answers, it does so within a few tries.
     Millis firstCalls = 1000;
-    // While the store answers nobody, each box tries once in this times the boxes of the site, so
-    // that all together make some 12 to 25 calls of each kind a second. A choice: the watchers try
-    // besides, so the store's return is found within their pause.
+    // While the store answers nobody, each box tries once in this times the boxes of the site. The
+    // watchers try besides, so the store's return is found within their pause.
     Millis turnPerBox = 80;
-    // Boxes of a zone, next in order to its watchers, that try at once. A choice: the watchers may
+    // Boxes of a zone, next in order to its watchers, that try at once. The watchers may
     // be those that the store turns away.
     size_t deputies = 1;
     // So many boxes with nothing younger show that the store is in trouble and not only this box's
-    // sources. A choice: more than a zone's watchers.
+    // sources.
     size_t minWitnesses = 4;
 };
 
--- a/include/freshness/WatchDelegation.h
+++ b/include/freshness/WatchDelegation.h
@@ -32,7 +32,7 @@
     // boxes made a third of all calls of a quiet day. One that is gone costs its followers nothing
     // but a question to others.
     size_t boxesPerWatcher = 128;
-    // In a zone of fewer, every box watches: too few calls are saved for the detour. A choice.
+    // In a zone of fewer, every box watches: too few calls are saved for the detour.
     size_t minBoxes = 5;
     Millis freshAge = 1000;  // A watcher that stays older than this while others are younger,
     Millis alone = 10000;    // and one that is gone, is passed over for this long.
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -36,7 +36,6 @@
     WatchDelegationSettings delegation;
     StoreDutySettings duty;
 
-    // The defaults are choices, but for the first: connections that open later have lost a packet.
     Millis connectTimeout = 300;    // To an upstream; see ConnectionBounds.
     Millis stallTimeout = 1500;     // Longest silence of a stream that can go on elsewhere.
     Millis idleConnection = 10000;  // A kept connection to an upstream is closed after this,
--- a/include/gateway/UpstreamPool.h
+++ b/include/gateway/UpstreamPool.h
@@ -27,7 +27,7 @@
 // Not thread safe: one io_context.
 class UpstreamPool {
 public:
-    // A choice: enough for a busy upstream, a fraction of the connections that one takes.
+    // Kept to one upstream.
     static constexpr size_t kMaxIdlePerUpstream = 8;
 
     explicit UpstreamPool(asio::any_io_executor executor) : m_executor(std::move(executor)) {}
--- a/include/health/UpstreamHealth.h
+++ b/include/health/UpstreamHealth.h
@@ -22,11 +22,11 @@
 
 // All times in milliseconds.
 struct HealthSettings {
-    // The first pause and the longest; each is twice the one before. Choices: short beside a cut,
-    // so that an upstream that is back is found soon, long beside the attempts that it costs.
+    // The first pause and the longest; each is twice the one before. Short, so that an
+    // upstream that is back is found soon; long beside the attempts that a trial costs.
     Millis firstEjection = 1000;
     Millis maxEjection = 8000;
-    Millis memory = 5000;      // Answers older than this fade out of the failure share. A choice.
+    Millis memory = 5000;      // Answers older than this fade out of the failure share.
     double failedShare = 0.4;  // Above this share of failures an upstream is ejected: some that
                                // fail half of what they run are worse than the others,
     double minFailures =
--- a/include/placement/CacheDirectory.h
+++ b/include/placement/CacheDirectory.h
@@ -6,8 +6,7 @@
 // boxes announce; the order in which all boxes prefer upstreams.
 //
 // It may be wrong both ways: an upstream may have evicted a part, and other boxes' announcements
-// may not have come. Either costs a read, never a wrong answer. Measured on a quiet day of seven
-// boxes: 226,000 tokens read again without fetching, 56,000 to 66,000 with it.
+// may not have come. Either costs a read, never a wrong answer.
 #pragma once
 
 #include "include/base/Time.h"
@@ -59,9 +58,9 @@
 public:
     // Parts remembered: some 0.5 MB, with the parts that prompts share within kMaxAge.
     static constexpr size_t kCapacity = 4096;
-    // In milliseconds. What was seen longer ago is likely evicted. A choice.
+    // In milliseconds. What was seen longer ago is likely evicted.
     static constexpr Millis kMaxAge = 60000;
-    // In milliseconds. After this long an upstream holds what recent prompts share. A choice.
+    // In milliseconds. After this long an upstream holds what recent prompts share.
     static constexpr Millis kSettledAfter = 12000;
     // Holdings that wait to be announced; beyond them the oldest are dropped. 4 KB of a digest.
     static constexpr size_t kMaxWaiting = 512;
--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -31,27 +31,23 @@
 
 // For models: prompts with the same shared part prefer the same upstream, over all zones, by
 // rendezvous hashing; where it has reached its bound the next in the same order takes them. An
-// upstream that holds the part in its cache need not read it again: on a quiet day of seven boxes
-// 67,000 tokens were read again, with random placement 891,000.
+// upstream that holds the part in its cache need not read it again.
 struct AffinityPolicy {
     // An upstream is given no more than multiple x the mean load + margin. The operators allow
-    // twice the mean + 3; the rest is for loads that are a digest (0.1 s) old. With 1.6 x the mean
-    // + 2 prompts moved well below that limit.
+    // twice the mean + 3; the rest is for loads that are a digest old.
     double multiple = 1.8;
     double margin = 2.5;
     // The loads come from a sample of the boxes and are old by the time that many requests take. A
     // sharp bound would then be passed by all boxes at once, so each request draws its own, between
-    // a little over the mean and the full one: of 1,578 attempts on a site of 85 boxes 40 went over
-    // the operators' limit, with a sharp bound 91. And what the first choice does not take is
-    // shared by several upstreams, since the next in order would be filled by all boxes at once.
+    // a little over the mean and the full one. What the first choice does not take is shared by
+    // several upstreams, since the next in order would be filled by all boxes at once.
     bool drawsBound = false;
     // Mean load of all upstreams, where it is known better than by the mean of the candidates'
     // loads: reports that are passed on are of full upstreams more often than of others.
     std::optional<double> meanLoad;
     // The share of the requests that ask for this prompt, as far as this box can tell: 0 to 1.
     // With drawsBound, so many upstreams share the prompt that it brings each of them some quarter
-    // of the mean load, before any count shows it. In the replay of LoadExchangeTest a prompt of
-    // 7 in 100 requests brings 0.4 in 100 arrivals over the limit, without this 1.0.
+    // of the mean load, before any count shows it.
     double promptShare = 0;
 };
 // For plain services: the own zone's upstreams first, the least loaded of them; full ones last.
--- a/include/placement/LoadEstimate.h
+++ b/include/placement/LoadEstimate.h
@@ -31,13 +31,10 @@
 // Immutable. Thread safety: any thread.
 class LoadEstimate {
 public:
-    // Shape of the rates' distribution: the inverse of the square of their relative spread. By all
-    // boxes' logs of two days of 295 boxes that square was 0.2 to 0.4 over windows of three to
-    // twelve seconds, without trouble and with.
+    // Shape of the rates' distribution: the inverse of the square of their relative spread.
     static constexpr double kRateShape = 4;
     // In milliseconds. How long a request stays, about: what a report counted has then mostly
-    // ended, and what came since is known by its rate only. A choice: model requests of the sites
-    // at hand take 0.1 to 1.5 s.
+    // ended, and what came since is known by its rate only.
     static constexpr Millis kRequestTime = 1000;
 
     // `counted`: requests that the counted boxes have at each upstream of the service. `share`: the
--- a/include/placement/UpstreamLoads.h
+++ b/include/placement/UpstreamLoads.h
@@ -31,11 +31,10 @@
 // Not thread safe: one task owns it.
 class UpstreamLoads {
 public:
-    // In milliseconds. A reported load counts for this long: some runs of a short request. A
-    // choice.
+    // In milliseconds. A reported load counts for this long.
     static constexpr Millis kReportAge = 1000;
     // In milliseconds. An older report still tells how much comes to its upstream (LoadEstimate);
-    // it is forgotten after this long. A choice: as long as PromptShares looks back.
+    // it is forgotten after this long.
     static constexpr Millis kReportMemory = 4000;
 
     // Counts a request that is sent to `upstream`. Preconditions: none.
--- a/include/relay/AttemptBounds.h
+++ b/include/relay/AttemptBounds.h
@@ -35,12 +35,12 @@
 
 // Keep-alive probes that an upstream's machine does not answer end the connection, 3 s after the
 // network to it is cut: an answer that will not come is waited for no longer. Sent only while an
-// answer is due; see UpstreamExchange. A choice: half of the cuts of 6 s that were played.
+// answer is due; see UpstreamExchange.
 inline constexpr Millis kKeepAliveIdle = 1000;
 inline constexpr int kKeepAliveCount = 2;
 
 // With less of the deadline left, in milliseconds, no attempt is begun: a round trip and the
-// shortest answer take about as long. A choice, not measured.
+// shortest answer take about as long.
 inline constexpr Millis kMinAttemptTime = 20;
 
 // What the waits of an attempt depend on.
--- a/include/relay/RequestAttempts.h
+++ b/include/relay/RequestAttempts.h
@@ -67,7 +67,7 @@
     bool repeatable = false;
     bool resumable = false;
     int maxAttempts = 1;  // Upstreams of the service that may have the request.
-    // Attempts that may reach no upstream of the service before the request is given up. A choice:
+    // Attempts that may reach no upstream of the service before the request is given up:
     // after as many refused connections the list of upstreams is likely wrong.
     int maxUnsent = 4;
 };
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -88,8 +88,7 @@
     const std::map<std::string, Entry>& all() const { return m_entries; }
 
 private:
-    // Remembered of those taken out; who asks for older changes gets the whole list. A choice: more
-    // than a large site replaces in the time that a box is away.
+    // Remembered of those taken out; who asks for older changes gets the whole list.
     static constexpr size_t kMaxRemoved = 1000;
 
     struct Removed {
--- a/include/wire/FrameCodec.h
+++ b/include/wire/FrameCodec.h
@@ -16,7 +16,7 @@
 // Of the frames; two boxes with different ones do not link.
 inline constexpr uint32_t kWireVersion = 1;
 inline constexpr size_t kFrameHeaderSize = 4;  // Length of the rest, little endian.
-// Bytes; larger frames break the protocol. A choice: far above a large site's list or
+// Bytes; larger frames break the protocol. Far above a large site's list or
 // configuration.
 inline constexpr size_t kMaxFrameSize = size_t{8} * 1024 * 1024;
 
--- a/include/wire/FrameLink.h
+++ b/include/wire/FrameLink.h
@@ -16,10 +16,9 @@
 // A greeted link. Not thread safe: one io_context. Lives until closed; hold it by shared_ptr.
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
 public:
-    // Bytes that wait for a peer; one that does not read for so long is dropped. A choice: eight of
-    // the largest frames.
+    // Bytes that wait for a peer; one that does not read for so long is dropped.
     static constexpr size_t kMaxQueuedBytes = size_t{64} * 1024 * 1024;
-    // Milliseconds for the peer's greeting. A choice: three lost packets.
+    // Milliseconds for the peer's greeting.
     static constexpr Millis kGreetingTimeout = 3000;
 
     using OnFrame = std::function<void(FrameLink&, wire::BodyUnion&)>;
--- a/src/freshness/StalenessPolicy.cpp
+++ b/src/freshness/StalenessPolicy.cpp
@@ -9,7 +9,7 @@
 // Parts of a bound that a box keeps for itself, in milliseconds. The store may be silent for this
 // long while it takes changes, by its operators.
 constexpr Millis kSilentStore = 1000;
-// Clocks, timers and calls are late by no more than this. A choice.
+// Clocks, timers and calls are late by no more than this.
 constexpr Millis kLateness = 400;
 
 // What a configuration is good for that is no longer fresh.
--- a/src/freshness/StorePacing.cpp
+++ b/src/freshness/StorePacing.cpp
@@ -23,16 +23,13 @@
 constexpr Millis kMinFollowBound = 600;   // A shorter bound leaves no time for a detour,
 constexpr Millis kMaxFollowBound = 4000;  // and a longer one is not used up.
 
-// Every call of every box to a store in trouble is load on it: 30 boxes cut off from it made 2,400
-// calls. While a box can serve without the store it asks rarely, and often as soon as requests are
-// refused for lack of it. Choices: the urgent one is a fraction of what a caller waits; with the
-// relaxed one a store that is back is found well within the time after which boxes are expected to
-// be up to date again (3 s on all sites so far).
+// Every call of every box to a store in trouble is load on it. While a box can serve without the
+// store it asks rarely, and often as soon as requests are refused for lack of it.
 constexpr Millis kUrgentPause = 400;
 constexpr Millis kRelaxedPause = 1600;
-constexpr Millis kFirstPause = 50;  // A choice: a lost packet should not cost more.
+constexpr Millis kFirstPause = 50;  // A lost packet should not cost more.
 
-// Beyond the age that the store's answers leave, for their way here. A choice.
+// Beyond the age that the store's answers leave, for their way here.
 constexpr Millis kAnswerMargin = 250;
 
 bool Within(std::optional<Millis> age, Millis limit) {
--- a/src/gateway/AnswerRelay.cpp
+++ b/src/gateway/AnswerRelay.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// Larger answers are passed on in pieces, since they would fill a box's memory. A choice.
+// Larger answers are passed on in pieces, since they would fill a box's memory.
 constexpr size_t kWholeAnswerBytes = size_t{256} * 1024;
 
 // Whether a status tells a caller that the request did not run. An upstream that ran it may use
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr size_t kReadSize = size_t{8} * 1024;  // Bytes of one read.
-// Times in milliseconds; choices. For the body of a request: the most that a slow line needs.
+// Times in milliseconds. For the body of a request: the most that a slow line needs.
 constexpr Millis kBodyTimeout = 15000;
 // For the caller to read the last answer before the connection is closed.
 constexpr Millis kLingerTime = 500;
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -23,8 +23,8 @@
 // Reported loads go out at most once in this time: a full upstream is known to most boxes after
 // some four hops.
 constexpr Millis kReportPeriod = 50;
-constexpr size_t kReportFanOut = 4;   // Neighbours that get them each time; 2 to 8 did alike.
-constexpr double kReportShare = 0.5;  // Of the budget of control bytes. A choice.
+constexpr size_t kReportFanOut = 4;   // Neighbours that get them each time.
+constexpr double kReportShare = 0.5;  // Of the budget of control bytes.
 constexpr double kMaxSaved = 1000;    // Milliseconds for which unspent budget is saved, for bursts.
 // Bytes of a frame of reports without its entries, and of an entry.
 constexpr double kReportFrameBytes = 64;
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // All times in milliseconds.
-constexpr Millis kDialPeriod = 500;  // A choice: a box that is back is linked to well within 3 s.
+constexpr Millis kDialPeriod = 500;  // A box that is back is linked to well within 3 s.
 // Boxes that this box dials; as many dial it. With 32 links the digests of a site of 85 boxes fit
 // into the budget of control bytes once a second.
 constexpr size_t kMaxDialed = 16;
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -100,8 +100,7 @@
 // end, the system forgets its part, and what was written may be delivered seconds later, when a cut
 // is mended and the request has long run elsewhere. So none are sent while a connection is idle,
 // for it may be taken at any moment, nor until the upstream's machine has the whole request: the
-// bound on unacknowledged bytes watches that time. In 210 played days with cuts of 6 s, in which
-// upstreams leave, 9 had such late arrivals with probes at all times, none has now.
+// bound on unacknowledged bytes watches that time.
 void UpstreamExchange::awaitDelivery() {
     m_delivery.expires_after(std::chrono::milliseconds(m_bounds.unacknowledged));
     m_delivery.async_wait([self = shared_from_this()](const beast::error_code& ec) {
--- a/src/gateway/UpstreamPool.cpp
+++ b/src/gateway/UpstreamPool.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // An upstream closes an idle connection at a time of its own: not used within this much of it.
-constexpr Millis kKeepAliveMargin = 500;  // A choice: longer than any way there.
+constexpr Millis kKeepAliveMargin = 500;  // Longer than any way there.
 
 // Whether nothing came on an idle connection: neither its end nor bytes that nobody asked for.
 bool IsQuiet(UpstreamConnection& connection) {
--- a/src/lifecycle/Drain.cpp
+++ b/src/lifecycle/Drain.cpp
@@ -8,7 +8,7 @@
 
 constexpr Millis kBalancerLetsGo = 2500;  // Two questions, one a second, and a half.
 constexpr Millis kAcceptPart = 3;         // Of a short grace.
-// What is kept of the grace for the end itself. Choices.
+// What is kept of the grace for the end itself.
 constexpr Millis kMinEndTime = 300;
 constexpr Millis kEndPart = 16;
 
--- a/src/membership/DigestPeriod.cpp
+++ b/src/membership/DigestPeriod.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// In milliseconds: longer than a box takes to read a large list or configuration. A choice.
+// In milliseconds: longer than a box takes to read a large list or configuration.
 constexpr Millis kMinSilence = 2500;
 constexpr Millis kPeriodsMissed = 3;  // So many digests in a row may be late.
 
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -110,7 +110,7 @@
 }
 
 void SetUpAsyncLog(std::string_view process, std::string_view level) {
-    // Lines that wait to be written; beyond them the oldest are dropped. A choice: some 1 MB.
+    // Lines that wait to be written; beyond them the oldest are dropped.
     constexpr size_t kQueuedLines = 4096;
     spdlog::init_thread_pool(kQueuedLines, 1);
     UseLogger(spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(std::string(process)), level);
--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -16,14 +16,13 @@
 // requests would leave an upstream that carries no more than the others.
 constexpr double kMinDrawnMargin = 1.0;
 // The same for a load that the upstream reported: less of it is chance, so that fewer requests
-// leave caches behind (trial in the replay: 6% fewer copies of prompts than with 1).
+// leave caches behind.
 constexpr double kMinReportedMargin = 3.0;
 // Upstreams share a prompt's requests if they carry no more than this over the mean each, in
 // requests: half of what the operators' limit leaves over the mean where upstreams are nearly idle.
 constexpr double kSharedMargin = 2.0;
 // The part of the mean load that one prompt may bring an upstream, before sharersOf doubles their
-// number. A choice: what is left of the limit then bears the other prompts and a second prompt of
-// this kind.
+// number. The rest of the limit is for other prompts.
 constexpr double kMaxPromptPart = 0.5;
 constexpr int kDrawSteps = 1024;  // Between the lowest bound and the highest.
 
--- a/src/placement/UpstreamLoads.cpp
+++ b/src/placement/UpstreamLoads.cpp
@@ -18,8 +18,7 @@
 // The own answers over which the usual load is taken: some two seconds of a box of many.
 constexpr double kUsualReports = 16;
 // In requests over the usual load. From here on a report is passed on: others have to know of the
-// upstreams that are nearly full, and the budget is short. A choice: with 0 to 3 the replay differs
-// by less than its seeds do.
+// upstreams that are nearly full, and the budget is short.
 constexpr double kNotableLoad = 2;
 
 }  // namespace
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr Millis kConnectTimeout = 1000;  // A choice: one lost packet of the opening is sent again.
+constexpr Millis kConnectTimeout = 1000;  // One lost packet of the opening is sent again.
 // Far above any list; bounds what a broken answer can cost.
 constexpr uint64_t kMaxAnswerBytes = uint64_t{64} << 20;
 // In milliseconds. A revision this old can still be watched from: well within the shortest history
--- a/src/wire/FrameLink.cpp
+++ b/src/wire/FrameLink.cpp
@@ -18,7 +18,7 @@
 
 using boost::system::error_code;
 
-constexpr Millis kConnectTimeout = 1000;  // A choice: a lost packet is sent again within it.
+constexpr Millis kConnectTimeout = 1000;  // A lost packet is sent again within it.
 
 }  // namespace
 
