Decode the frames of a test from an aligned buffer

The sanitizers: a struct of CrashReports read at an address that is not a multiple of 8, in CrashExchangeTest, which decoded a frame behind its 4 bytes of length. The test's own fault: FrameLink reads a frame's content into a buffer of its own. No check changes.

--- a/tests/CrashExchangeTest.cpp
+++ b/tests/CrashExchangeTest.cpp
@@ -131,8 +131,9 @@
 
     void deliver(const std::optional<std::string>& frame, Box& to) const {
         if (frame) {
-            const std::span<const char> bytes(*frame);
-            const auto body = DecodeFrame(bytes.subspan(kFrameHeaderSize)).value();
+            // As FrameLink has it: in a buffer of its own, aligned for the frame's structs.
+            const std::vector<char> content(frame->begin() + kFrameHeaderSize, frame->end());
+            const auto body = DecodeFrame(content).value();
             to.exchange.take(*body.AsCrashReports(), m_now + kDelay);
         }
     }
