Take a last note on a value out of the code, and say what CrashDetector does

Comments only: the grounds of the ejection's pauses are a choice (docs/design/decisions.md, last row).

--- a/include/gateway/CrashDetector.h
+++ b/include/gateway/CrashDetector.h
@@ -1,5 +1,5 @@
 // Tells the crash of an upstream from the loss of a connection: after an upstream has closed the
-// connection of a running attempt, its port is looked at once. Refused: the process is gone, and
+// connection of a running attempt, its port is looked at. Refused: the process is gone, and
 // all attempts that broke there were under way when it crashed.
 //
 // Owns the attempts whose upstreams are being looked at. Relies on UpstreamRecords for starts.
--- a/include/health/UpstreamHealth.h
+++ b/include/health/UpstreamHealth.h
@@ -22,8 +22,7 @@
 
 // All times in milliseconds.
 struct HealthSettings {
-    // The first pause and the longest; each is twice the one before. Short, so that an
-    // upstream that is back is found soon; long beside the attempts that a trial costs.
+    // The first pause and the longest; each is twice the one before.
     Millis firstEjection = 1000;
     Millis maxEjection = 8000;
     Millis memory = 5000;      // Answers older than this fade out of the failure share.
