Send cold upstreams only what they bear, shared out among three boxes

Cause: nobody read that an upstream is cold, nor what it bears then.

Now cold_remaining_ms of an upstream's object, Cold-Ms of its answers and cold_per_s of its service are read; a box passes on how long an upstream is still cold (a field at the end of UpstreamEntry). Three boxes, drawn by a hash that all boxes compute alike, share what it bears while it is cold, at most half of what the operators allow in a second; the others send elsewhere. A box that has just started, or knows others and is linked to none, sends it nothing. Why an upstream is left out stands in one place (UpstreamExclusion), in lines 2004 and 2008 and a metric; where none is left, callers are refused at once with the time until the first is back.

Ways: each box its share by boxes known is no way (at 73 boxes one request in 8 s each, all at once if they like); counts told on are older than the second that counts. Tests: ColdShareTest (replays of 1 to 340 boxes that all have requests for one cold upstream; boxes that start anew, know few others, are cut off), ColdUpstreamsTest, ColdUpstreamTest.

--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -54,7 +54,8 @@
     std::optional<int> load;   // Requests running and waiting there.
     // It wants no requests from this box for so long.
     std::optional<Millis> backoff;
-    std::string unreadable;  // Names a header that cannot be read; empty: none.
+    std::optional<Millis> coldLeft;  // How much longer it is cold, in milliseconds; 0: it is not.
+    std::string unreadable;          // Names a header that cannot be read; empty: none.
     std::optional<Millis> keepAlive;
 };
 
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -11,6 +11,7 @@
 #include "include/health/UpstreamHealth.h"
 #include "include/lifecycle/Drain.h"
 #include "include/placement/ChooseUpstream.h"
+#include "include/placement/ColdShare.h"
 
 #include <string>
 #include <vector>
@@ -41,6 +42,7 @@
     Millis idleConnection = 10000;  // A kept connection to an upstream is closed after this,
     Millis onceConnection = 2000;   // and carries no unrepeatable request after this, since it may
                                     // have ended without a word.
+    ColdLimit cold;  // Of upstreams that are cold; what one bears stands in the configuration.
     RetryAllowanceSettings retry;
     HealthSettings health;
     PlacementPolicy modelPlacement = AffinityPolicy{};
--- a/include/gateway/LoadExchange.h
+++ b/include/gateway/LoadExchange.h
@@ -12,6 +12,7 @@
 #include "include/membership/BoxDirectory.h"
 #include "include/wire/FrameCodec.h"
 
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -46,6 +47,7 @@
     void take(const std::string& from, const wire::BodyUnion& body, MonoTime now);
 
 private:
+    void noteBoxes(const BoxDirectory& boxes, MonoTime now);
     wire::DigestT digestOf(const PeerCounts::Counts& counts);
     OutgoingFrame frameOf(std::span<const std::string> neighbours, wire::DigestT digest);
     size_t reportsAllowed(MonoTime now);
@@ -67,6 +69,7 @@
     double m_reportAllowance = 0;   // Bytes that may be spent on reports now.
     MonoTime m_allowedAt;           // When that was.
     uint64_t m_reportRound = 0;
+    std::optional<uint64_t> m_boxesVersion;  // Of the boxes that the records know.
 };
 
 }  // namespace onyx
--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -6,6 +6,7 @@
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
+#include "include/placement/UpstreamExclusion.h"
 
 #include <optional>
 #include <set>
@@ -47,6 +48,7 @@
     PlacementReason reason = PlacementReason::kPreferred;
     LoadsAtChoice loads;
     std::optional<FetchSource> source;  // Where the prompt's cached parts are fetched from.
+    ExclusionTally leftOut;             // Upstreams that could not be chosen.
 };
 
 // The place of the next attempt among the upstreams that take work, or nothing if there is none.
@@ -56,9 +58,11 @@
                                          const UpstreamRecords& records,
                                          const PlacementQuestion& question, MonoTime now);
 
-// How long all upstreams of a service that stay ask for no requests, in milliseconds; nothing if
-// there is none, or one that takes them. Preconditions and thread safety as above.
-std::optional<Millis> BackoffOf(const UpstreamList& upstreams, const UpstreamRecords& records,
-                                const ServiceId& service, MonoTime now);
+// Why all upstreams of the service are left out; nothing if one may be sent to, tried or not.
+// Preconditions and thread safety as above.
+std::optional<ExclusionTally> AllLeftOut(const GatewaySettings& settings,
+                                         const UpstreamList& upstreams,
+                                         const UpstreamRecords& records,
+                                         const PlacementQuestion& question, MonoTime now);
 
 }  // namespace onyx
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -35,6 +35,8 @@
     std::optional<Refusal> checkQuarantine(MonoTime now);
     Task<AfterAnswer> serve();
     std::optional<AttemptPlace> place();
+    PlacementQuestion placementQuestion() const;
+    void noteLeftOut(Refusal& refusal) const;
     Task<Verdict> attempt(const AttemptPlace& place);
     Verdict judge(AttemptEnd end);
     // Carries out what is the last step of a request.
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -94,6 +94,9 @@
     // An upstream said in an answer that it is about to end. Preconditions: none.
     void leaves(const std::string& upstream);
 
+    // A request finds no upstream that may be sent to, for these reasons. Preconditions: none.
+    void leftOut(const std::string& request, const ExclusionTally& upstreams);
+
     // An upstream crashed with this attempt under way. Preconditions: none.
     void crashed(const std::string& upstream, const BrokenAttempt& attempt);
 
--- a/include/gateway/UpstreamList.h
+++ b/include/gateway/UpstreamList.h
@@ -34,6 +34,8 @@
     bool saysStarts() const;
     // The list. Preconditions: none.
     const UpstreamTable& table() const { return m_table; }
+    // How much longer an upstream is cold, in milliseconds; 0: it is not. Preconditions: as above.
+    Millis coldLeft(const std::string& id, MonoTime now) const;
     // Its age in milliseconds, or nothing before the first confirmation. Preconditions: none.
     std::optional<Millis> age(MonoTime now) const { return m_age.age(now); }
 
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -7,9 +7,11 @@
 #pragma once
 
 #include "include/gateway/UpstreamPool.h"
+#include "include/health/ColdUpstreams.h"
 #include "include/health/UpstreamAvoidance.h"
 #include "include/health/UpstreamHealth.h"
 #include "include/placement/CacheDirectory.h"
+#include "include/placement/ColdShare.h"
 #include "include/placement/PeerCounts.h"
 #include "include/placement/PromptShares.h"
 #include "include/placement/UpstreamLoads.h"
@@ -92,6 +94,12 @@
     UpstreamAvoidance& avoidance() { return m_avoidance; }
     const UpstreamAvoidance& avoidance() const { return m_avoidance; }
 
+    // Which upstreams are cold, and whether this box sends to them. Preconditions: none.
+    ColdUpstreams& cold() { return m_cold; }
+    const ColdUpstreams& cold() const { return m_cold; }
+    ColdShare& coldShare() { return m_coldShare; }
+    const ColdShare& coldShare() const { return m_coldShare; }
+
     // An upstream began to answer a prompt with these shared parts, so it has read them.
     // Preconditions: times do not fall.
     void notePrompt(std::span<const std::string> sharedParts, const std::string& id, MonoTime now);
@@ -158,6 +166,8 @@
 
     UpstreamHealth m_health;
     UpstreamAvoidance m_avoidance;
+    ColdUpstreams m_cold;
+    ColdShare m_coldShare;
     UpstreamLoads m_loads;
     PeerCounts m_peerCounts;
     CacheDirectory m_caches;
--- a/include/membership/BoxDirectory.h
+++ b/include/membership/BoxDirectory.h
@@ -100,6 +100,9 @@
     // agree on as far as they know the same boxes. Preconditions: none.
     std::vector<std::string> zoneOrder() const;
 
+    // Changes whenever a box comes or goes. Preconditions: none.
+    uint64_t version() const { return m_version; }
+
     // Boxes known, this one included. Preconditions: none.
     size_t size() const { return m_boxes.size() + 1; }
 
@@ -123,6 +126,7 @@
     // All boxes in the order of their hashes: each dials those that follow it.
     std::vector<std::pair<uint64_t, std::string>> m_ring;
     size_t m_selfIndex = 0;
+    uint64_t m_version = 0;
 };
 
 }  // namespace onyx
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -35,6 +35,7 @@
     bool draining = false;  // It gets no new work.
     int slots = 1;          // Requests that it works on at once.
     int64_t startedMs = 0;  // See Incarnation.
+    Millis coldLeft = 0;    // How much longer it is cold, as of when it was told; 0: it is not.
 
     Incarnation incarnation() const { return {id, startedMs}; }
     friend bool operator==(const Upstream&, const Upstream&) = default;
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -121,6 +121,9 @@
         m_context.records.avoidance().noteBackoff(incarnation, now + *facts.backoff, now)) {
         m_context.log.backsOff(upstream, *facts.backoff);
     }
+    if (facts.coldLeft) {
+        m_context.records.cold().note(incarnation, *facts.coldLeft, now);
+    }
     if (facts.leaving && m_context.records.avoidance().noteLeaving(incarnation, now)) {
         m_context.records.dropConnections(upstream);
         m_context.log.leaves(upstream);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -87,6 +87,13 @@
     return RetryAllowanceSettings::Planned(window, share, slack, minBoxes);
 }
 
+ColdLimit ReadCold(SettingsReader& reader) {
+    ColdLimit limit;
+    limit.overshoot = reader.real("cold.overshoot", limit.overshoot, 0.0, 1000.0);
+    limit.tolerance = reader.real("cold.tolerance", limit.tolerance, 0.0, 1e6);
+    return limit;
+}
+
 DrainSettings ReadDrain(SettingsReader& reader) {
     const Millis grace = reader.number("drain.grace_ms", kDefaultGrace, 500, kDay);
     DrainSettings drain;
@@ -130,6 +137,7 @@
     settings.retry = ReadRetry(reader);
     settings.modelPlacement = ReadPolicy(reader, "placement.model", "affinity");
     settings.plainPlacement = ReadPolicy(reader, "placement.plain", "zone-first");
+    settings.cold = ReadCold(reader);
     settings.drain = ReadDrain(reader);
     return settings;
 }
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -4,6 +4,7 @@
 #include "include/membership/DrawBoxes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace onyx {
 
@@ -58,6 +59,8 @@
     const double share = boxes.neighbourShare();
     m_records.setSite(boxes.size(), share);
     m_sampled = share < 1;
+    noteBoxes(boxes, now);
+    m_records.coldShare().setLinked(linked.size());
     std::vector<OutgoingFrame> frames;
     // Digests go out on changes, as often as the budget of control bytes allows.
     const PeerCounts::Counts counts = m_records.ownLoads();
@@ -80,6 +83,20 @@
     return frames;
 }
 
+void LoadExchange::noteBoxes(const BoxDirectory& boxes, MonoTime now) {
+    if (m_boxesVersion == boxes.version()) {
+        return;
+    }
+    m_boxesVersion = boxes.version();
+    std::vector<std::string> others;
+    for (const KnownBox& box : boxes.all()) {
+        if (box.address != boxes.self()) {
+            others.push_back(box.address);
+        }
+    }
+    m_records.coldShare().setBoxes(boxes.self(), std::move(others), now);
+}
+
 Millis LoadExchange::pause() const {
     return m_sampled ? kReportPeriod : m_digestPeriod;
 }
--- a/src/gateway/PeerMessages.cpp
+++ b/src/gateway/PeerMessages.cpp
@@ -13,12 +13,15 @@
     entry->leaving = upstream.draining;
     entry->slots = upstream.slots;
     entry->started_ms = upstream.startedMs;
+    entry->cold_ms = static_cast<uint32_t>(upstream.coldLeft);
     return entry;
 }
 
 Upstream UpstreamOf(const wire::UpstreamEntryT& entry) {
-    return {entry.id,    ServiceId(entry.service), entry.address, ZoneId(entry.zone), entry.leaving,
-            entry.slots, entry.started_ms};
+    return {entry.id,         ServiceId(entry.service),
+            entry.address,    ZoneId(entry.zone),
+            entry.leaving,    entry.slots,
+            entry.started_ms, Millis{entry.cold_ms}};
 }
 
 }  // namespace
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -155,6 +155,9 @@
     }
     if (ask.want_upstreams && reply.upstreams_revision > ask.upstreams_revision) {
         AddUpstreams(m_upstreams.table(), ask, reply);
+        for (const auto& entry : reply.upstreams) {
+            entry->cold_ms = static_cast<uint32_t>(m_upstreams.coldLeft(entry->id, now));
+        }
     }
     m_mesh.send(from, std::move(reply));
 }
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -10,6 +10,52 @@
 
 namespace {
 
+UpstreamStanding StandingOf(const Upstream& upstream, const GatewaySettings& settings,
+                            const UpstreamRecords& records, const PlacementQuestion& question,
+                            MonoTime now) {
+    const Incarnation incarnation = upstream.incarnation();
+    UpstreamStanding standing;
+    standing.draining = upstream.draining;
+    standing.leaving = records.avoidance().isLeaving(incarnation);
+    standing.backoff = records.avoidance().backoffLeft(incarnation, now);
+    const auto coldLeft = records.cold().coldLeft(incarnation, now);
+    if (coldLeft && question.spec != nullptr && question.spec->coldPerSecond > 0) {
+        ColdLimit limit = settings.cold;
+        limit.perSecond = question.spec->coldPerSecond;
+        const Millis wait =
+            records.coldShare().takesPart(upstream.id, now)
+                ? records.cold().waitFor(incarnation, records.coldShare().spacing(limit), now)
+                : *coldLeft;
+        standing.coldWait = std::min(wait, *coldLeft);
+    }
+    return standing;
+}
+
+// The upstreams of a service that a request may be sent to, and how many may not.
+struct Eligible {
+    std::vector<const Upstream*> upstreams;
+    ExclusionTally leftOut;
+};
+
+Eligible EligibleFor(const GatewaySettings& settings, const UpstreamList& upstreams,
+                     const UpstreamRecords& records, const PlacementQuestion& question,
+                     MonoTime now) {
+    Eligible eligible;
+    for (const auto& [id, entry] : upstreams.table().all()) {
+        if (entry.upstream.service != question.service) {
+            continue;
+        }
+        const auto exclusion =
+            ExclusionOf(StandingOf(entry.upstream, settings, records, question, now));
+        if (exclusion) {
+            eligible.leftOut.add(*exclusion);
+        } else {
+            eligible.upstreams.push_back(&entry.upstream);
+        }
+    }
+    return eligible;
+}
+
 // What is known of the loads of a service's upstreams, in their order.
 struct ServiceLoads {
     std::vector<KnownLoad> known;
@@ -120,10 +166,8 @@
                                          const UpstreamList& upstreams,
                                          const UpstreamRecords& records,
                                          const PlacementQuestion& question, MonoTime now) {
-    auto takingWork = upstreams.table().takingWork(question.service);
-    std::erase_if(takingWork, [&](const Upstream* upstream) {
-        return records.avoidance().avoids(upstream->incarnation(), now);
-    });
+    const Eligible eligible = EligibleFor(settings, upstreams, records, question, now);
+    const std::vector<const Upstream*>& takingWork = eligible.upstreams;
     const ServiceLoads service = LoadsOf(takingWork, records, now);
     const auto candidates =
         CandidatesOf(takingWork, settings.zone, records, question, service, now);
@@ -141,28 +185,21 @@
                               chosen->meanLoad,
                               chosen->bound,
                               records.boxesHeard()};
-    AttemptPlace place{*takingWork[chosen->index], chosen->reason, loads, std::nullopt};
+    AttemptPlace place{*takingWork[chosen->index], chosen->reason, loads, std::nullopt,
+                       eligible.leftOut};
     if (question.spec != nullptr && question.spec->fetchesCache) {
         place.source = FetchSourceFor(upstreams, records, question, place.upstream, now);
     }
     return place;
 }
 
-std::optional<Millis> BackoffOf(const UpstreamList& upstreams, const UpstreamRecords& records,
-                                const ServiceId& service, MonoTime now) {
-    std::optional<Millis> shortest;
-    for (const Upstream* upstream : upstreams.table().takingWork(service)) {
-        const Incarnation incarnation = upstream->incarnation();
-        if (records.avoidance().isLeaving(incarnation)) {
-            continue;
-        }
-        const auto left = records.avoidance().backoffLeft(incarnation, now);
-        if (!left) {
-            return std::nullopt;
-        }
-        shortest = std::min(shortest.value_or(*left), *left);
-    }
-    return shortest;
+std::optional<ExclusionTally> AllLeftOut(const GatewaySettings& settings,
+                                         const UpstreamList& upstreams,
+                                         const UpstreamRecords& records,
+                                         const PlacementQuestion& question, MonoTime now) {
+    const Eligible eligible = EligibleFor(settings, upstreams, records, question, now);
+    return eligible.upstreams.empty() ? std::optional<ExclusionTally>(eligible.leftOut)
+                                      : std::nullopt;
 }
 
 }  // namespace onyx
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -113,9 +113,16 @@
 std::optional<AttemptPlace> RequestHandler::place() {
     const MonoTime now = ReadClocks().mono;
     m_context.records.expirePeerLoads(now);
-    const PlacementQuestion question{m_admission.service, m_admission.spec, m_facts.sharedParts,
-                                     m_tried, m_draw};
-    return PlaceAttempt(m_context.settings, m_context.upstreams, m_context.records, question, now);
+    const auto place = PlaceAttempt(m_context.settings, m_context.upstreams, m_context.records,
+                                    placementQuestion(), now);
+    if (place) {
+        m_context.records.cold().noteSent(place->upstream.incarnation(), now);
+    }
+    return place;
+}
+
+PlacementQuestion RequestHandler::placementQuestion() const {
+    return {m_admission.service, m_admission.spec, m_facts.sharedParts, m_tried, m_draw};
 }
 
 Task<Verdict> RequestHandler::attempt(const AttemptPlace& place) {
@@ -172,14 +179,25 @@
     const RefusalReason failed = m_timedOut ? RefusalReason::kTimedOut : RefusalReason::kUnclear;
     const bool notRun = verdict.step == NextStep::kRefuse;
     Refusal refusal = MakeRefusal(notRun ? RefusalReason::kNoUpstream : failed);
-    const auto backoff =
-        BackoffOf(m_context.upstreams, m_context.records, m_admission.service, ReadClocks().mono);
-    if (notRun && backoff) {
-        refusal.retryAfter = std::max(*backoff, kRetryAfterNoUpstream);
+    if (notRun) {
+        noteLeftOut(refusal);
     }
     co_return co_await refuse(refusal);
 }
 
+// Where no upstream may be sent to, the caller is told why and when the first one is back.
+void RequestHandler::noteLeftOut(Refusal& refusal) const {
+    const auto leftOut = AllLeftOut(m_context.settings, m_context.upstreams, m_context.records,
+                                    placementQuestion(), ReadClocks().mono);
+    if (!leftOut) {
+        return;
+    }
+    m_context.log.leftOut(m_facts.id, *leftOut);
+    if (leftOut->wait()) {
+        refusal.retryAfter = std::max(*leftOut->wait(), kRetryAfterNoUpstream);
+    }
+}
+
 Task<AfterAnswer> RequestHandler::deliver() {
     const bool success = m_relay->status() < HttpStatus::kFirstRedirect;
     if (success) {
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -50,6 +50,7 @@
               {"mean_load", fmt::format("{:.1f}", place.loads.meanLoad)},
               {"load_bound", std::to_string(place.loads.bound)},
               {"boxes_heard", std::to_string(place.loads.boxesHeard)},
+              {"left_out", place.leftOut.text()},
               {"prompt", facts.sharedParts.empty() ? std::string() : facts.sharedParts.back()},
               {"prompt_tokens", std::to_string(facts.promptTokens)},
               {"cache_source", source ? source->upstream.id : std::string()},
@@ -108,6 +109,18 @@
     logEvent(Event::kUpstreamLeaves, {{"upstream", upstream}});
 }
 
+void RequestLog::leftOut(const std::string& request, const ExclusionTally& upstreams) {
+    for (size_t i = 0; i < kExclusionReasons; ++i) {
+        const auto reason = static_cast<ExclusionReason>(i);
+        m_metrics.count("onyx_upstreams_left_out_total",
+                        {{"reason", std::string(ExclusionReasonName(reason))}},
+                        upstreams.count(reason));
+    }
+    logEvent(Event::kAllLeftOut, {{"request", request},
+                                  {"left_out", upstreams.text()},
+                                  {"wait_ms", NumberOr(upstreams.wait(), "unknown")}});
+}
+
 void RequestLog::crashed(const std::string& upstream, const BrokenAttempt& attempt) {
     m_metrics.count("onyx_upstream_crashes_total");
     logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
--- a/src/gateway/UpstreamList.cpp
+++ b/src/gateway/UpstreamList.cpp
@@ -14,9 +14,17 @@
                                        {"service", upstream.service.value},
                                        {"address", upstream.address},
                                        {"state", upstream.draining ? "leaving" : "ready"},
+                                       {"cold_ms", std::to_string(upstream.coldLeft)},
                                        {"source", std::string(source)}});
 }
 
+void LogCold(const Upstream& upstream, bool sends, std::string_view source) {
+    logEvent(Event::kUpstreamCold, {{"upstream", upstream.id},
+                                    {"cold_ms", std::to_string(upstream.coldLeft)},
+                                    {"sends", sends ? "yes" : "no"},
+                                    {"source", std::string(source)}});
+}
+
 // The upstreams of `table` that `changes` take out.
 std::vector<std::string> RemovedBy(const UpstreamChanges& changes, const UpstreamTable& table) {
     std::vector<std::string> removed = changes.removed;
@@ -59,6 +67,13 @@
                        [](const auto& entry) { return entry.second.upstream.startedMs != 0; });
 }
 
+Millis UpstreamList::coldLeft(const std::string& id, MonoTime now) const {
+    const Upstream* upstream = m_table.find(id);
+    return upstream == nullptr
+               ? 0
+               : m_records.cold().coldLeft(upstream->incarnation(), now).value_or(0);
+}
+
 void UpstreamList::noteStart(const Upstream& upstream, std::string_view source) {
     const auto before = m_records.noteStart(upstream.incarnation());
     if (before) {
@@ -91,6 +106,9 @@
     if (upstream.draining) {
         m_records.dropConnections(upstream.id);
     }
+    if (m_records.cold().note(upstream.incarnation(), upstream.coldLeft, now)) {
+        LogCold(upstream, m_records.coldShare().takesPart(upstream.id, now), source);
+    }
     // The first list is one line: a box of a large site would log for a second otherwise.
     if (m_listed) {
         LogChange(upstream, source);
--- /dev/null
+++ b/src/health/ColdUpstreams.cpp
@@ -0,0 +1,60 @@
+#include "include/health/ColdUpstreams.h"
+
+#include <algorithm>
+
+namespace onyx {
+
+const ColdUpstreams::Record* ColdUpstreams::find(const Incarnation& upstream) const {
+    const auto it = m_records.find(upstream.id);
+    const bool later = it != m_records.end() && upstream.startedMs > it->second.startedMs;
+    return it == m_records.end() || later ? nullptr : &it->second;
+}
+
+void ColdUpstreams::makeRoom() {
+    m_records.erase(std::min_element(
+        m_records.begin(), m_records.end(),
+        [](const auto& a, const auto& b) { return a.second.until < b.second.until; }));
+}
+
+bool ColdUpstreams::note(const Incarnation& upstream, Millis left, MonoTime now) {
+    const bool known = m_records.contains(upstream.id);
+    if (!known && left <= 0) {
+        return false;
+    }
+    if (!known && m_records.size() >= kMaxUpstreams) {
+        makeRoom();
+    }
+    Record& record = m_records[upstream.id];
+    if (upstream.startedMs != 0 && upstream.startedMs < record.startedMs) {
+        return false;
+    }
+    const bool wasCold = upstream.startedMs <= record.startedMs && record.until > now;
+    record.startedMs = std::max(record.startedMs, upstream.startedMs);
+    record.until = now + left;
+    return !wasCold && left > 0;
+}
+
+std::optional<Millis> ColdUpstreams::coldLeft(const Incarnation& upstream, MonoTime now) const {
+    const Record* record = find(upstream);
+    if (record == nullptr || record->until <= now) {
+        return std::nullopt;
+    }
+    return record->until - now;
+}
+
+void ColdUpstreams::noteSent(const Incarnation& upstream, MonoTime now) {
+    const auto it = m_records.find(upstream.id);
+    if (it != m_records.end() && it->second.until > now) {
+        it->second.sent = now;
+    }
+}
+
+Millis ColdUpstreams::waitFor(const Incarnation& upstream, Millis spacing, MonoTime now) const {
+    const Record* record = find(upstream);
+    if (record == nullptr || !record->sent) {
+        return 0;
+    }
+    return std::max<Millis>(0, *record->sent + spacing - now);
+}
+
+}  // namespace onyx
--- a/src/membership/BoxDirectory.cpp
+++ b/src/membership/BoxDirectory.cpp
@@ -24,6 +24,7 @@
 // processor's time of that second (BoxDirectoryTest, 295 boxes that learn each other: 30 s and 8
 // s).
 void BoxDirectory::place(const std::string& address) {
+    ++m_version;
     const std::pair<uint64_t, std::string> entry(HashText(address), address);
     m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), entry), entry);
     if (address != m_self.address) {
--- /dev/null
+++ b/tests/ColdShareTest.cpp
@@ -0,0 +1,167 @@
+// The requests of a whole site to one cold upstream: many boxes, each with its own ColdShare and
+// ColdUpstreams and what it knows of the others. The pattern: an upstream comes back cold while all
+// boxes have more requests for it than it bears.
+#include "include/health/ColdUpstreams.h"
+#include "include/placement/ColdShare.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+using namespace onyx;
+
+namespace {
+
+const Incarnation kUpstream{"i-cold", 1};
+// The operators' figures of the first site that has them.
+constexpr ColdLimit kLimit{8.9, 1.5, 5};
+constexpr double kAllowed = 8.9 * 1.5 + 5;
+constexpr Millis kStep = 10;
+constexpr Millis kMaxDelay = 300;  // Between the choice and the arrival.
+
+struct Box {
+    std::string address;
+    ColdShare share;
+    ColdUpstreams cold;
+};
+
+struct Seen {
+    size_t mostInASecond = 0;
+    double perSecond = 0;
+};
+
+class Site {
+public:
+    Site(size_t boxes, uint64_t seed) : m_random(seed) {
+        for (size_t i = 0; i < boxes; ++i) {
+            m_boxes.push_back(std::make_unique<Box>());
+            m_boxes.back()->address = "10.0." + std::to_string(i) + ":1";
+        }
+        for (const auto& box : m_boxes) {
+            meet(*box, 1.0);
+        }
+        m_now = m_now + ColdShare::kDiscoveryTime;
+    }
+
+    size_t size() const { return m_boxes.size(); }
+    Box& box(size_t i) { return *m_boxes.at(i); }
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    // The box starts anew and hears of so many of the others.
+    void restart(size_t i, double hears) {
+        const std::string address = box(i).address;
+        m_boxes.at(i) = std::make_unique<Box>();
+        box(i).address = address;
+        meet(box(i), hears);
+    }
+    void meet(Box& box, double hears) {
+        std::vector<std::string> others;
+        for (const auto& other : m_boxes) {
+            if (other->address != box.address && uniform() < hears) {
+                others.push_back(other->address);
+            }
+        }
+        box.share.setLinked(others.size());
+        box.share.setBoxes(box.address, std::move(others), m_now);
+    }
+
+    // Each box has a request for the upstream in each step, which stays cold.
+    Seen play(Millis time) {
+        std::vector<Millis> arrivals;
+        const MonoTime end = m_now + time;
+        while (m_now < end) {
+            for (const auto& box : m_boxes) {
+                box->cold.note(kUpstream, 3000, m_now);
+                if (mayGo(*box)) {
+                    box->cold.noteSent(kUpstream, m_now);
+                    const auto delay = static_cast<Millis>(uniform() * kMaxDelay);
+                    arrivals.push_back(m_now.ms + delay);
+                }
+            }
+            m_now = m_now + kStep;
+        }
+        return seenOf(arrivals, time);
+    }
+
+private:
+    bool mayGo(const Box& box) const {
+        return box.share.takesPart(kUpstream.id, m_now) &&
+               box.cold.waitFor(kUpstream, box.share.spacing(kLimit), m_now) == 0;
+    }
+
+    static Seen seenOf(std::vector<Millis> arrivals, Millis time) {
+        std::sort(arrivals.begin(), arrivals.end());
+        Seen seen;
+        auto first = arrivals.begin();
+        for (auto last = arrivals.begin(); last != arrivals.end(); ++last) {
+            while (*last - *first >= 1000) {
+                ++first;
+            }
+            seen.mostInASecond =
+                std::max(seen.mostInASecond, static_cast<size_t>(last - first) + 1);
+        }
+        seen.perSecond = 1000.0 * static_cast<double>(arrivals.size()) / static_cast<double>(time);
+        return seen;
+    }
+
+    std::mt19937_64 m_random;
+    MonoTime m_now{100000};
+    std::vector<std::unique_ptr<Box>> m_boxes;
+};
+
+}  // namespace
+
+// Guards against a cold upstream that falls over under the requests of all boxes together.
+TEST_CASE("All boxes together stay below what a cold upstream is allowed, and use what it bears") {
+    const size_t boxes = GENERATE(1, 2, 6, 73, 295, 340);
+    const uint64_t seed = GENERATE(1, 2, 3);
+    Site site(boxes, seed);
+    const Seen seen = site.play(10000);
+    INFO("boxes " << boxes << " seed " << seed << ": " << seen.mostInASecond << " in a second, "
+                  << seen.perSecond << " a second");
+    CHECK(static_cast<double>(seen.mostInASecond) <= kAllowed);
+    CHECK(seen.perSecond > kLimit.perSecond / 2);
+}
+
+TEST_CASE("Boxes that start anew, know few others or are cut off do not add to it") {
+    const size_t boxes = GENERATE(6, 73, 295, 340);
+    const uint64_t seed = GENERATE(1, 2, 3, 4, 5);
+    Site site(boxes, seed);
+    site.play(1000);
+    for (size_t i = 0; i < boxes; ++i) {
+        const double fate = site.uniform();
+        if (fate < 0.2) {
+            site.restart(i, 0.9);
+        } else if (fate < 0.3) {
+            site.box(i).share.setLinked(0);
+        } else if (fate < 0.6) {
+            site.meet(site.box(i), 0.8);
+        }
+    }
+    const Seen seen = site.play(10000);
+    INFO("boxes " << boxes << " seed " << seed << ": " << seen.mostInASecond << " in a second, "
+                  << seen.perSecond << " a second");
+    CHECK(static_cast<double>(seen.mostInASecond) <= kAllowed);
+}
+
+TEST_CASE("A box that has just started or is linked to none sends a cold upstream nothing") {
+    ColdShare share;
+    CHECK_FALSE(share.takesPart("a", {0}));
+    share.setBoxes("self", {}, {0});
+    CHECK_FALSE(share.takesPart("a", {ColdShare::kDiscoveryTime - 1}));
+    CHECK(share.takesPart("a", {ColdShare::kDiscoveryTime}));
+    share.setBoxes("self", {"other"}, {5000});
+    CHECK_FALSE(share.takesPart("a", {5000}));
+    share.setLinked(1);
+    CHECK(share.takesPart("a", {5000}));
+}
+
+TEST_CASE("A rate that leaves no margin is planned at half of what is allowed") {
+    ColdShare share;
+    share.setBoxes("self", {}, {0});
+    CHECK(share.spacing({10, 1.5, 5}) == 100);
+    CHECK(share.spacing({10, 1, 0}) == 200);
+    share.setBoxes("self", {"a", "b", "c", "d"}, {0});
+    CHECK(share.spacing({10, 1.5, 5}) == 300);
+}
--- /dev/null
+++ b/tests/ColdUpstreamsTest.cpp
@@ -0,0 +1,85 @@
+#include "include/health/ColdUpstreams.h"
+#include "include/placement/UpstreamExclusion.h"
+
+#include <catch2/catch.hpp>
+
+using namespace onyx;
+
+namespace {
+
+const Incarnation kUpstream{"a", 1000};
+const Incarnation kRestarted{"a", 2000};
+
+}  // namespace
+
+TEST_CASE("An upstream is cold for as long as it is said to be") {
+    ColdUpstreams cold;
+    CHECK_FALSE(cold.coldLeft(kUpstream, {0}));
+    CHECK_FALSE(cold.note(kUpstream, 0, {0}));
+    CHECK(cold.note(kUpstream, 3000, {0}));
+    CHECK_FALSE(cold.note(kUpstream, 3000, {0}));
+    CHECK(cold.coldLeft(kUpstream, {1000}) == 2000);
+    CHECK_FALSE(cold.coldLeft(kUpstream, {3000}));
+    CHECK_FALSE(cold.coldLeft({"b", 1000}, {1000}));
+}
+
+TEST_CASE("An upstream may become cold again, and may be said to be warm before its time") {
+    ColdUpstreams cold;
+    cold.note(kUpstream, 3000, {0});
+    CHECK_FALSE(cold.note(kUpstream, 0, {500}));
+    CHECK_FALSE(cold.coldLeft(kUpstream, {500}));
+    CHECK(cold.note(kUpstream, 2000, {10000}));
+    CHECK(cold.coldLeft(kUpstream, {11000}) == 1000);
+}
+
+TEST_CASE("What is said of an earlier start changes nothing for a later one") {
+    ColdUpstreams cold;
+    cold.note(kUpstream, 3000, {0});
+    CHECK_FALSE(cold.coldLeft(kRestarted, {0}));
+    CHECK(cold.note(kRestarted, 3000, {1000}));
+    CHECK_FALSE(cold.note(kUpstream, 0, {1100}));
+    CHECK(cold.coldLeft(kRestarted, {1100}) == 2900);
+    // A box of an earlier build passes on no start.
+    CHECK(cold.coldLeft({"a", 0}, {1100}) == 2900);
+}
+
+TEST_CASE("Requests of one box to a cold upstream are a spacing apart") {
+    ColdUpstreams cold;
+    cold.note(kUpstream, 3000, {0});
+    CHECK(cold.waitFor(kUpstream, 300, {0}) == 0);
+    cold.noteSent(kUpstream, {0});
+    CHECK(cold.waitFor(kUpstream, 300, {100}) == 200);
+    CHECK(cold.waitFor(kUpstream, 300, {300}) == 0);
+    cold.noteSent({"b", 1}, {0});
+    CHECK(cold.waitFor({"b", 1}, 300, {100}) == 0);
+}
+
+TEST_CASE("The first reason that holds is the one that an upstream is left out for") {
+    CHECK_FALSE(ExclusionOf({}));
+    UpstreamStanding standing;
+    standing.coldWait = 0;
+    CHECK_FALSE(ExclusionOf(standing));
+    standing.coldWait = 150;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kCold);
+    CHECK(ExclusionOf(standing)->wait == 150);
+    standing.backoff = 4000;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kBackoff);
+    standing.leaving = true;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kLeaving);
+    CHECK_FALSE(ExclusionOf(standing)->wait);
+    standing.draining = true;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kDraining);
+}
+
+TEST_CASE("A tally of what is left out names the reasons and the shortest wait") {
+    ExclusionTally tally;
+    CHECK(tally.text().empty());
+    CHECK_FALSE(tally.wait());
+    tally.add({ExclusionReason::kDraining, std::nullopt});
+    tally.add({ExclusionReason::kCold, 300});
+    tally.add({ExclusionReason::kCold, 100});
+    CHECK(tally.count() == 3);
+    CHECK(tally.count(ExclusionReason::kCold) == 2);
+    CHECK(tally.wait() == 100);
+    CHECK(tally.text() == "draining=1 cold=2");
+}
