Send an evacuated zone's upstreams no new request

Cause: nobody read the orders.

Now a third watch of the store, held for half of evacuation_ms, follows the orders; boxes that follow others get them with each answer (fields at the end of KnowledgeReply), boxes whose watcher is of an earlier build ask the store. Where the settings name no bound, nothing is watched.

--- a/include/freshness/StorePacing.h
+++ b/include/freshness/StorePacing.h
@@ -48,6 +48,11 @@
 // is for a store that stops answering. Preconditions: freshLimit >= 0. Thread safety: any thread.
 Millis ConfigurationWait(Millis freshLimit);
 
+// How long a watch for evacuations is held, where an order is to be kept within `bound`: a watch
+// whose connection went silent is given up and made anew well within it.
+// Preconditions: bound >= 0. Thread safety: any thread.
+Millis EvacuationWait(Millis bound);
+
 // What a box's pace depends on besides its settings.
 struct StorePacingFacts {
     bool watchesForOthers = false;  // Other boxes follow it, or are about to.
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -70,6 +70,7 @@
     ConfigurationState m_configuration;
     UpstreamRecords m_records;
     UpstreamList m_upstreams;
+    EvacuationList m_evacuations;
     Lifecycle m_lifecycle;
     RetryAllowances m_retries;
     RequestLog m_log;
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -36,6 +36,8 @@
     Millis storeTimeout = 1500;  // For a store's answer, beyond the time that it may be held.
     WatchDelegationSettings delegation;
     StoreDutySettings duty;
+    // An evacuated zone gets no requests after this; 0: no zone is ever evacuated here.
+    Millis evacuationBound = 0;
 
     Millis connectTimeout = 300;    // To an upstream; see ConnectionBounds.
     Millis stallTimeout = 1500;     // Longest silence of a stream that can go on elsewhere.
--- a/include/gateway/PeerSync.h
+++ b/include/gateway/PeerSync.h
@@ -1,6 +1,6 @@
 // What the boxes of a site tell each other of what the store has: how old it is, what changed since
-// a revision, and on request all of it. Carries out what KnowledgeSpread decides: whom this box
-// asks, and whether it calls the store itself.
+// a revision, and on request all of it; evacuations with every answer. Carries out what
+// KnowledgeSpread decides: whom this box asks, and whether it calls the store itself.
 //
 // Owns the questions under way. Relies on PeerMesh for the messages, on KnowledgeSpread and
 // PeerKnowledge for the rules. What it learns goes to the configuration and the upstreams.
@@ -27,13 +27,19 @@
     std::optional<MonoTime> upstreamsAsOf;  // Nothing: the box knows no upstreams.
 };
 
+// What boxes tell each other of.
+struct SharedKnowledge {
+    ConfigurationState& configuration;
+    UpstreamList& upstreams;
+    EvacuationList& evacuations;
+};
+
 // Not thread safe: one io_context.
 class PeerSync {
 public:
     // Preconditions: all arguments outlive it.
-    PeerSync(const GatewaySettings& settings, const Dialect& dialect,
-             ConfigurationState& configuration, UpstreamList& upstreams, StoreController& store,
-             PeerMesh& mesh);
+    PeerSync(const GatewaySettings& settings, const Dialect& dialect, const SharedKnowledge& known,
+             StoreController& store, PeerMesh& mesh);
 
     // Asks others, for as long as the process lives. Preconditions: called once; mesh and store
     // were started.
@@ -55,8 +61,8 @@
     // Whether this box relies on others in ordinary times. Preconditions: none.
     bool hasOthers() const { return m_spread.hasOthers(); }
 
-    // Whether this box may call the store now. Preconditions: none.
-    bool mayCallStore();
+    // Whether this box may call the store now for objects of this kind. Preconditions: none.
+    bool mayCallStore(ObjectKind kind);
 
     // Whether this box relies on others in place of calling the store. Preconditions: none.
     bool following() const { return !m_duty.calls; }
@@ -75,6 +81,8 @@
     void catchUp(const std::string& from, const wire::KnowledgeReplyT& reply, bool askedChanges);
     void fetch(const std::string& from, bool changesOnly);
     void apply(const PeerUpdate& update);
+    void addEvacuations(wire::KnowledgeReplyT& reply, MonoTime now) const;
+    void takeEvacuations(const std::string& from, const wire::KnowledgeReplyT& reply);
     wire::KnowledgeAskT questionOf(uint64_t round) const;
     KnownAges ages(MonoTime now) const;
     bool isOverdue(MonoTime now) const { return IsOverdue(m_settings.pacing, ages(now)); }
@@ -85,6 +93,7 @@
     const Dialect& m_dialect;
     ConfigurationState& m_configuration;
     UpstreamList& m_upstreams;
+    EvacuationList& m_evacuations;
     StoreController& m_store;
     PeerMesh& m_mesh;
     PeerKnowledge m_knowledge;
@@ -92,6 +101,7 @@
     StoreDutyDecision m_duty;  // Of the last step.
     std::string m_watcher;     // The box that is asked in place of the store; empty: none.
     CopyRead m_copyRead;
+    int m_silentReplies = 0;  // Of the watcher in a row, that told nothing of evacuations.
 };
 
 }  // namespace onyx
--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "include/admission/Admission.h"
+#include "include/gateway/EvacuationList.h"
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
@@ -51,18 +52,22 @@
     ExclusionTally leftOut;             // Upstreams that could not be chosen.
 };
 
+// What placement may read.
+struct PlacementKnowledge {
+    const GatewaySettings& settings;
+    const UpstreamList& upstreams;
+    const UpstreamRecords& records;
+    const EvacuationList& evacuations;
+};
+
 // The place of the next attempt among the upstreams that take work, or nothing if there is none.
 // Preconditions: times do not fall. Thread safety: the state's task.
-std::optional<AttemptPlace> PlaceAttempt(const GatewaySettings& settings,
-                                         const UpstreamList& upstreams,
-                                         const UpstreamRecords& records,
+std::optional<AttemptPlace> PlaceAttempt(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now);
 
 // Why all upstreams of the service are left out; nothing if one may be sent to, tried or not.
 // Preconditions and thread safety as above.
-std::optional<ExclusionTally> AllLeftOut(const GatewaySettings& settings,
-                                         const UpstreamList& upstreams,
-                                         const UpstreamRecords& records,
+std::optional<ExclusionTally> AllLeftOut(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now);
 
 }  // namespace onyx
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -8,6 +8,7 @@
 #include "include/gateway/ConfigurationState.h"
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/PeerMesh.h"
+#include "include/gateway/PlaceAttempt.h"
 #include "include/gateway/QuarantineController.h"
 #include "include/gateway/RequestLog.h"
 #include "include/gateway/UpstreamList.h"
@@ -25,6 +26,7 @@
     const Dialect& dialect;
     const ConfigurationState& configuration;
     const UpstreamList& upstreams;
+    const EvacuationList& evacuations;
     UpstreamRecords& records;
     RetryAllowances& retries;
     Lifecycle& lifecycle;
@@ -32,6 +34,9 @@
     RequestLog& log;
     QuarantineController& quarantine;
     std::minstd_rand random{std::random_device{}()};
+
+    // What the placement of an attempt may read. Preconditions: none.
+    PlacementKnowledge placement() const { return {settings, upstreams, records, evacuations}; }
 };
 
 // What admission depends on, as this box knows it. Preconditions: none.
--- a/include/gateway/StoreController.h
+++ b/include/gateway/StoreController.h
@@ -5,12 +5,14 @@
 
 #include "include/dialect/Dialect.h"
 #include "include/gateway/ConfigurationState.h"
+#include "include/gateway/EvacuationList.h"
 #include "include/gateway/GatewaySettings.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/observe/Metrics.h"
 #include "include/store/StoreWatch.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace onyx {
@@ -18,12 +20,15 @@
 // Not thread safe: one io_context.
 class StoreController {
 public:
+    // Whether the store may be called now for objects of this kind.
+    using MayCall = std::function<bool(ObjectKind)>;
+
     // `facts`: what the pace depends on, asked anew each time.
     // Preconditions: all arguments but `facts` outlive the controller.
     StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
                     const Dialect& dialect, ConfigurationState& configuration,
-                    UpstreamList& upstreams, Metrics& metrics,
-                    std::function<StorePacingFacts()> facts, std::function<bool()> mayCall);
+                    UpstreamList& upstreams, EvacuationList& evacuations, Metrics& metrics,
+                    std::function<StorePacingFacts()> facts, MayCall mayCall);
 
     // Begins to follow the store. Preconditions: called once.
     void start();
@@ -37,9 +42,8 @@
 
 private:
     std::unique_ptr<StoreWatch> makeWatch(ObjectKind kind);
-    StoreWatch& watchOf(ObjectKind kind) {
-        return kind == ObjectKind::kConfiguration ? *m_configuration : *m_upstreams;
-    }
+    StoreWatch& watchOf(ObjectKind kind) { return *m_watches.at(kind); }
+    uint64_t knownRevision(ObjectKind kind) const;
     Millis watchWait(ObjectKind kind) const;
     Millis pauseAfterChanges(ObjectKind kind) const;
     void onUpdate(ObjectKind kind, const StoreUpdate& update);
@@ -47,6 +51,7 @@
     void onCall(ObjectKind kind, const StoreCall& call);
     void takeConfiguration(const StoreUpdate& update);
     void takeUpstreams(const StoreUpdate& update);
+    void takeEvacuations(const StoreUpdate& update);
     bool isBehind(const StoreUpdate& update, const StoredConfiguration& configuration) const;
     UpstreamChanges changesOf(const StoreUpdate& update) const;
     void noteUnreadable(const std::string& object, const std::string& why) const;
@@ -56,11 +61,11 @@
     const Dialect& m_dialect;
     ConfigurationState& m_configurationState;
     UpstreamList& m_upstreamList;
+    EvacuationList& m_evacuationList;
     Metrics& m_metrics;
     std::function<StorePacingFacts()> m_facts;
-    std::function<bool()> m_mayCall;
-    std::unique_ptr<StoreWatch> m_configuration;
-    std::unique_ptr<StoreWatch> m_upstreams;
+    MayCall m_mayCall;
+    std::map<ObjectKind, std::unique_ptr<StoreWatch>> m_watches;
 };
 
 }  // namespace onyx
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -62,6 +62,7 @@
     kUpstreamBacksOff = 2106,
     kUpstreamLeaves = 2107,
     kUpstreamCold = 2108,
+    kZoneEvacuated = 2109,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/include/placement/UpstreamExclusion.h
+++ b/include/placement/UpstreamExclusion.h
@@ -20,10 +20,11 @@
 enum class ExclusionReason : uint8_t {
     kDraining,  // The list says so.
     kLeaving,   // It said in an answer that it is about to end.
+    kEvacuated,  // The operators evacuate its availability zone.
     kBackoff,   // It asked this box for no requests for a while.
     kCold,      // This box has no part, or none left now, in what it bears while it is cold.
 };
-inline constexpr size_t kExclusionReasons = 4;
+inline constexpr size_t kExclusionReasons = 5;
 
 // The reason as it stands in logs and metrics. Thread safety: any thread.
 std::string_view ExclusionReasonName(ExclusionReason reason);
@@ -32,6 +33,7 @@
 struct UpstreamStanding {
     bool draining = false;
     bool leaving = false;
+    bool evacuated = false;  // Its zone is.
     std::optional<Millis> backoff;   // It wants no request for so long.
     std::optional<Millis> coldWait;  // It is cold, and this box waits so long; 0: no longer.
 };
--- a/include/store/ObjectStore.h
+++ b/include/store/ObjectStore.h
@@ -15,7 +15,7 @@
 namespace onyx {
 
 // The kinds of objects that a box reads.
-enum class ObjectKind : uint8_t { kConfiguration, kUpstreams };
+enum class ObjectKind : uint8_t { kConfiguration, kUpstreams, kEvacuations };
 
 // What a list is read from.
 enum class ListSource : uint8_t {
@@ -29,6 +29,11 @@
     std::string text;  // The same in the dialect's words, to be passed on to other boxes.
 };
 
+// The operators evacuate an availability zone as long as its object is there.
+struct Evacuation {
+    ZoneId zone;
+};
+
 // An object that was removed, or that no box reads.
 using NoContent = std::monostate;
 
@@ -36,7 +41,7 @@
 struct StoredObject {
     std::string name;
     bool removed = false;
-    std::variant<NoContent, StoredConfiguration, Upstream, Error> content;
+    std::variant<NoContent, StoredConfiguration, Upstream, Evacuation, Error> content;
 };
 
 // One answer of a list call.
--- a/src/freshness/StorePacing.cpp
+++ b/src/freshness/StorePacing.cpp
@@ -55,6 +55,10 @@
     return freshLimit * 5 / 9;
 }
 
+Millis EvacuationWait(Millis bound) {
+    return bound / 2;
+}
+
 Millis HeldWait(const StorePacingSettings& settings, const StorePacingFacts& facts, Millis wait) {
     return facts.watchesForOthers ? std::min(wait, settings.followedWait) : wait;
 }
--- /dev/null
+++ b/src/gateway/EvacuationList.cpp
@@ -0,0 +1,25 @@
+#include "include/gateway/EvacuationList.h"
+
+#include "include/observe/Events.h"
+
+namespace onyx {
+
+void EvacuationList::apply(const EvacuationChanges& changes, bool takesBack,
+                           std::string_view source, MonoTime now) {
+    const EvacuationChanges news = m_orders.take(changes, takesBack, now);
+    const auto log = [&](const std::string& zone, const char* state) {
+        logEvent(Event::kZoneEvacuated, {{"zone", zone},
+                                         {"state", state},
+                                         {"revision", std::to_string(news.revision)},
+                                         {"source", std::string(source)}});
+    };
+    for (const std::string& zone : news.begun) {
+        log(zone, "evacuated");
+    }
+    for (const std::string& zone : news.ended) {
+        log(zone, "taken-back");
+    }
+    m_metrics.set("onyx_evacuated_zones", {}, static_cast<double>(m_orders.zones().size()));
+}
+
+}  // namespace onyx
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,11 +17,13 @@
       m_settings(settings),
       m_records(io.get_executor(), settings.health),
       m_upstreams(m_records),
+      m_evacuations(m_metrics),
       m_retries(settings.retry, ReadClocks().mono),
       m_log(m_metrics),
       m_store(
-          io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_metrics,
-          [this] { return pacingFacts(); }, [this] { return m_sync.mayCallStore(); }),
+          io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_evacuations,
+          m_metrics, [this] { return pacingFacts(); },
+          [this](ObjectKind kind) { return m_sync.mayCallStore(kind); }),
       m_mesh(io, settings, m_records, m_metrics,
              {[this](const std::string& from, const wire::KnowledgeAskT& ask) {
                   m_sync.onAsk(from, ask);
@@ -36,10 +38,10 @@
                   m_sync.onLinked(address);
                   m_quarantine.onLinked(address);
               }}),
-      m_sync(settings, dialect, m_configuration, m_upstreams, m_store, m_mesh),
+      m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations}, m_store, m_mesh),
       m_quarantine(io, m_records, m_mesh, m_log),
-      m_context{io,        settings,    dialect, m_configuration, m_upstreams, m_records,
-                m_retries, m_lifecycle, m_mesh,  m_log,           m_quarantine},
+      m_context{io,        settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
+                m_records, m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -133,6 +133,7 @@
     settings.admission = ReadAdmission(reader);
     ReadPacing(reader, settings);
     settings.storeTimeout = reader.number("store.timeout_ms", settings.storeTimeout, 10, kDay);
+    settings.evacuationBound = reader.number("store.evacuation_bound_ms", 0, 0, kDay);
     ReadUpstreamTimes(reader, settings);
     settings.retry = ReadRetry(reader);
     settings.modelPlacement = ReadPolicy(reader, "placement.model", "affinity");
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -13,6 +13,9 @@
 // In milliseconds. How often it is looked at whom to ask and whether to call the store: small
 // beside the shortest of the times that are decided about.
 constexpr Millis kStep = 100;
+// A watcher that tells nothing of evacuations in so many answers is of an earlier build; one that
+// has just started does not know of them yet.
+constexpr int kSilentReplies = 4;
 
 KnowledgeSpreadSettings SpreadSettings(const GatewaySettings& settings) {
     KnowledgeSpreadSettings spread;
@@ -25,12 +28,12 @@
 }  // namespace
 
 PeerSync::PeerSync(const GatewaySettings& settings, const Dialect& dialect,
-                   ConfigurationState& configuration, UpstreamList& upstreams,
-                   StoreController& store, PeerMesh& mesh)
+                   const SharedKnowledge& known, StoreController& store, PeerMesh& mesh)
     : m_settings(settings),
       m_dialect(dialect),
-      m_configuration(configuration),
-      m_upstreams(upstreams),
+      m_configuration(known.configuration),
+      m_upstreams(known.upstreams),
+      m_evacuations(known.evacuations),
       m_store(store),
       m_mesh(mesh),
       m_spread(SpreadSettings(settings), ReadClocks().mono, std::random_device{}()) {}
@@ -92,9 +95,10 @@
     }
 }
 
-bool PeerSync::mayCallStore() {
+bool PeerSync::mayCallStore(ObjectKind kind) {
     const MonoTime now = ReadClocks().mono;
-    return m_spread.mayCall(ages(now).older(), now);
+    return (kind == ObjectKind::kEvacuations && m_silentReplies >= kSilentReplies) ||
+           m_spread.mayCall(ages(now).older(), now);
 }
 
 bool PeerSync::watchesForOthers() const {
@@ -159,11 +163,46 @@
             entry->cold_ms = static_cast<uint32_t>(m_upstreams.coldLeft(entry->id, now));
         }
     }
+    addEvacuations(reply, now);
     m_mesh.send(from, std::move(reply));
 }
 
+void PeerSync::addEvacuations(wire::KnowledgeReplyT& reply, MonoTime now) const {
+    const auto age = m_evacuations.age(now);
+    if (!age) {
+        return;
+    }
+    const ZoneEvacuations& orders = m_evacuations.orders();
+    reply.tells_evacuations = true;
+    reply.evacuations_age_ms = *age;
+    reply.evacuations_revision = orders.revision();
+    reply.evacuated.assign(orders.zones().begin(), orders.zones().end());
+}
+
+// A watcher of an earlier build leaves it to this box to ask the store.
+void PeerSync::takeEvacuations(const std::string& from, const wire::KnowledgeReplyT& reply) {
+    if (from == m_watcher && m_settings.evacuationBound > 0) {
+        const bool tellsNone = !reply.tells_evacuations && reply.watches;
+        m_silentReplies = tellsNone ? m_silentReplies + 1 : 0;
+        if (m_silentReplies == kSilentReplies) {
+            m_store.wake();
+        }
+    }
+    if (!reply.tells_evacuations) {
+        return;
+    }
+    const EvacuationChanges orders{true, reply.evacuations_revision, reply.evacuated, {}};
+    const bool isBehind = orders.revision < m_evacuations.orders().revision();
+    m_evacuations.apply(orders, false, "peer", ReadClocks().mono);
+    const auto asOf = m_knowledge.answered(reply.round, reply.evacuations_age_ms);
+    if (asOf && !isBehind) {
+        m_evacuations.confirm(*asOf);
+    }
+}
+
 void PeerSync::onReply(const std::string& from, const wire::KnowledgeReplyT& reply) {
     const bool askedChanges = m_knowledge.endFetch(reply.round) || from == m_watcher;
+    takeEvacuations(from, reply);
     const auto asOf = m_knowledge.answered(reply.round, reply.age_ms);
     if (asOf) {
         apply({reply.content, reply.revision, *asOf, ChangesOf(reply), reply.upstreams_revision,
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -10,24 +10,36 @@
 
 namespace {
 
-UpstreamStanding StandingOf(const Upstream& upstream, const GatewaySettings& settings,
-                            const UpstreamRecords& records, const PlacementQuestion& question,
-                            MonoTime now) {
+// How long this box sends a cold upstream nothing; nothing if it is not cold, or may be sent to
+// like others.
+std::optional<Millis> ColdWaitFor(const Upstream& upstream, const PlacementKnowledge& knowledge,
+                                  const PlacementQuestion& question, MonoTime now) {
+    const UpstreamRecords& records = knowledge.records;
+    const Incarnation incarnation = upstream.incarnation();
+    const auto coldLeft = records.cold().coldLeft(incarnation, now);
+    if (!coldLeft || question.spec == nullptr || question.spec->coldPerSecond <= 0) {
+        return std::nullopt;
+    }
+    if (!records.coldShare().takesPart(upstream.id, now)) {
+        return coldLeft;
+    }
+    ColdLimit limit = knowledge.settings.cold;
+    limit.perSecond = question.spec->coldPerSecond;
+    const Millis spacing = records.coldShare().spacing(limit);
+    return std::min(records.cold().waitFor(incarnation, spacing, now), *coldLeft);
+}
+
+UpstreamStanding StandingOf(const Upstream& upstream, const PlacementKnowledge& knowledge,
+                            const PlacementQuestion& question, MonoTime now) {
+    const UpstreamRecords& records = knowledge.records;
     const Incarnation incarnation = upstream.incarnation();
     UpstreamStanding standing;
     standing.draining = upstream.draining;
     standing.leaving = records.avoidance().isLeaving(incarnation);
     standing.backoff = records.avoidance().backoffLeft(incarnation, now);
-    const auto coldLeft = records.cold().coldLeft(incarnation, now);
-    if (coldLeft && question.spec != nullptr && question.spec->coldPerSecond > 0) {
-        ColdLimit limit = settings.cold;
-        limit.perSecond = question.spec->coldPerSecond;
-        const Millis wait =
-            records.coldShare().takesPart(upstream.id, now)
-                ? records.cold().waitFor(incarnation, records.coldShare().spacing(limit), now)
-                : *coldLeft;
-        standing.coldWait = std::min(wait, *coldLeft);
-    }
+    standing.evacuated = knowledge.evacuations.orders().isEvacuated(
+        upstream.zone, knowledge.upstreams.age(now), now);
+    standing.coldWait = ColdWaitFor(upstream, knowledge, question, now);
     return standing;
 }
 
@@ -37,16 +49,14 @@
     ExclusionTally leftOut;
 };
 
-Eligible EligibleFor(const GatewaySettings& settings, const UpstreamList& upstreams,
-                     const UpstreamRecords& records, const PlacementQuestion& question,
+Eligible EligibleFor(const PlacementKnowledge& knowledge, const PlacementQuestion& question,
                      MonoTime now) {
     Eligible eligible;
-    for (const auto& [id, entry] : upstreams.table().all()) {
+    for (const auto& [id, entry] : knowledge.upstreams.table().all()) {
         if (entry.upstream.service != question.service) {
             continue;
         }
-        const auto exclusion =
-            ExclusionOf(StandingOf(entry.upstream, settings, records, question, now));
+        const auto exclusion = ExclusionOf(StandingOf(entry.upstream, knowledge, question, now));
         if (exclusion) {
             eligible.leftOut.add(*exclusion);
         } else {
@@ -162,11 +172,10 @@
 
 }  // namespace
 
-std::optional<AttemptPlace> PlaceAttempt(const GatewaySettings& settings,
-                                         const UpstreamList& upstreams,
-                                         const UpstreamRecords& records,
+std::optional<AttemptPlace> PlaceAttempt(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now) {
-    const Eligible eligible = EligibleFor(settings, upstreams, records, question, now);
+    const auto& [settings, upstreams, records, evacuations] = knowledge;
+    const Eligible eligible = EligibleFor(knowledge, question, now);
     const std::vector<const Upstream*>& takingWork = eligible.upstreams;
     const ServiceLoads service = LoadsOf(takingWork, records, now);
     const auto candidates =
@@ -193,11 +202,9 @@
     return place;
 }
 
-std::optional<ExclusionTally> AllLeftOut(const GatewaySettings& settings,
-                                         const UpstreamList& upstreams,
-                                         const UpstreamRecords& records,
+std::optional<ExclusionTally> AllLeftOut(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now) {
-    const Eligible eligible = EligibleFor(settings, upstreams, records, question, now);
+    const Eligible eligible = EligibleFor(knowledge, question, now);
     return eligible.upstreams.empty() ? std::optional<ExclusionTally>(eligible.leftOut)
                                       : std::nullopt;
 }
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -113,8 +113,7 @@
 std::optional<AttemptPlace> RequestHandler::place() {
     const MonoTime now = ReadClocks().mono;
     m_context.records.expirePeerLoads(now);
-    const auto place = PlaceAttempt(m_context.settings, m_context.upstreams, m_context.records,
-                                    placementQuestion(), now);
+    const auto place = PlaceAttempt(m_context.placement(), placementQuestion(), now);
     if (place) {
         m_context.records.cold().noteSent(place->upstream.incarnation(), now);
     }
@@ -187,8 +186,7 @@
 
 // Where no upstream may be sent to, the caller is told why and when the first one is back.
 void RequestHandler::noteLeftOut(Refusal& refusal) const {
-    const auto leftOut = AllLeftOut(m_context.settings, m_context.upstreams, m_context.records,
-                                    placementQuestion(), ReadClocks().mono);
+    const auto leftOut = AllLeftOut(m_context.placement(), placementQuestion(), ReadClocks().mono);
     if (!leftOut) {
         return;
     }
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -10,7 +10,15 @@
 namespace {
 
 std::string ObjectsName(ObjectKind kind) {
-    return kind == ObjectKind::kUpstreams ? "upstreams" : "configuration";
+    switch (kind) {
+        case ObjectKind::kConfiguration:
+            return "configuration";
+        case ObjectKind::kUpstreams:
+            return "upstreams";
+        case ObjectKind::kEvacuations:
+            return "evacuations";
+    }
+    return "invalid";
 }
 
 bool AnySaysStart(const StoreUpdate& update) {
@@ -24,23 +32,28 @@
 
 StoreController::StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
                                  const Dialect& dialect, ConfigurationState& configuration,
-                                 UpstreamList& upstreams, Metrics& metrics,
-                                 std::function<StorePacingFacts()> facts,
-                                 std::function<bool()> mayCall)
+                                 UpstreamList& upstreams, EvacuationList& evacuations,
+                                 Metrics& metrics, std::function<StorePacingFacts()> facts,
+                                 MayCall mayCall)
     : m_executor(std::move(executor)),
       m_settings(settings),
       m_dialect(dialect),
       m_configurationState(configuration),
       m_upstreamList(upstreams),
+      m_evacuationList(evacuations),
       m_metrics(metrics),
       m_facts(std::move(facts)),
       m_mayCall(std::move(mayCall)) {}
 
 void StoreController::start() {
-    m_configuration = makeWatch(ObjectKind::kConfiguration);
-    m_upstreams = makeWatch(ObjectKind::kUpstreams);
-    Spawn(m_executor, m_configuration->run());
-    Spawn(m_executor, m_upstreams->run());
+    std::vector<ObjectKind> kinds = {ObjectKind::kConfiguration, ObjectKind::kUpstreams};
+    if (m_settings.evacuationBound > 0) {
+        kinds.push_back(ObjectKind::kEvacuations);
+    }
+    for (const ObjectKind kind : kinds) {
+        const auto& watch = m_watches[kind] = makeWatch(kind);
+        Spawn(m_executor, watch->run());
+    }
 }
 
 std::unique_ptr<StoreWatch> StoreController::makeWatch(ObjectKind kind) {
@@ -53,10 +66,8 @@
     sink.onUpdate = [this, kind](const StoreUpdate& update) { onUpdate(kind, update); };
     sink.onReachable = [kind](const std::string& why) { onReachable(kind, why); };
     sink.onCall = [this, kind](const StoreCall& call) { onCall(kind, call); };
-    sink.mayCall = m_mayCall;
-    sink.knownRevision = [this, kind] {
-        return kind == ObjectKind::kUpstreams ? m_upstreamList.table().revision() : 0;
-    };
+    sink.mayCall = [this, kind] { return m_mayCall(kind); };
+    sink.knownRevision = [this, kind] { return knownRevision(kind); };
     sink.wait = [this, kind] { return watchWait(kind); };
     sink.pauseAfterChanges = [this, kind] { return pauseAfterChanges(kind); };
     sink.pauseAfterFailure = [this](Millis previous) {
@@ -65,21 +76,39 @@
     return std::make_unique<StoreWatch>(m_executor, m_dialect, watch, std::move(sink));
 }
 
+// The revision up to which other boxes may have told the objects.
+uint64_t StoreController::knownRevision(ObjectKind kind) const {
+    switch (kind) {
+        case ObjectKind::kConfiguration:
+            return 0;
+        case ObjectKind::kUpstreams:
+            return m_upstreamList.table().revision();
+        case ObjectKind::kEvacuations:
+            return m_evacuationList.orders().revision();
+    }
+    return 0;
+}
+
 Millis StoreController::watchWait(ObjectKind kind) const {
+    if (kind == ObjectKind::kEvacuations) {
+        return EvacuationWait(m_settings.evacuationBound);
+    }
     const StorePacingSettings& pacing = m_settings.pacing;
     const bool configuration = kind == ObjectKind::kConfiguration;
     const Millis wait = configuration ? pacing.configurationWait : pacing.upstreamWait;
     return HeldWait(pacing, m_facts(), wait);
 }
 
-// A change of the configuration is to be in force at once; those of upstreams come together.
+// A change of the configuration is to be in force at once, as is an evacuation; those of upstreams
+// come together.
 Millis StoreController::pauseAfterChanges(ObjectKind kind) const {
-    return kind == ObjectKind::kConfiguration ? 0 : PauseAfterChanges(m_settings.pacing, m_facts());
+    return kind == ObjectKind::kUpstreams ? PauseAfterChanges(m_settings.pacing, m_facts()) : 0;
 }
 
 void StoreController::wake() {
-    m_configuration->wake();
-    m_upstreams->wake();
+    for (const auto& [kind, watch] : m_watches) {
+        watch->wake();
+    }
 }
 
 // One line a call: calls are priced, and few.
@@ -102,10 +131,13 @@
 }
 
 void StoreController::onUpdate(ObjectKind kind, const StoreUpdate& update) {
-    if (kind == ObjectKind::kConfiguration) {
-        takeConfiguration(update);
-    } else {
-        takeUpstreams(update);
+    switch (kind) {
+        case ObjectKind::kConfiguration:
+            return takeConfiguration(update);
+        case ObjectKind::kUpstreams:
+            return takeUpstreams(update);
+        case ObjectKind::kEvacuations:
+            return takeEvacuations(update);
     }
 }
 
@@ -143,6 +175,29 @@
     }
 }
 
+// What cannot be read names no zone; the orders that stand hold.
+void StoreController::takeEvacuations(const StoreUpdate& update) {
+    EvacuationChanges changes;
+    changes.whole = update.whole;
+    changes.revision = update.revision;
+    std::map<std::string, bool> stands;  // The last word on a zone counts.
+    for (const StoredObject& object : update.objects) {
+        if (const auto* error = std::get_if<Error>(&object.content)) {
+            noteUnreadable("evacuation " + object.name, error->text());
+        } else {
+            stands[object.name] = !object.removed;
+        }
+    }
+    for (const auto& [zone, stand] : stands) {
+        (stand ? changes.begun : changes.ended).push_back(zone);
+    }
+    const bool authoritative = update.whole && update.asOf;
+    m_evacuationList.apply(changes, authoritative, "store", ReadClocks().mono);
+    if (update.asOf) {
+        m_evacuationList.confirm(*update.asOf);
+    }
+}
+
 void StoreController::noteUnreadable(const std::string& object, const std::string& why) const {
     m_metrics.count("onyx_objects_unreadable_total");
     logEvent(Event::kObjectBad, {{"object", object}, {"why", why}});
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -67,6 +67,7 @@
     {Event::kUpstreamBacksOff, "upstream-backs-off"},
     {Event::kUpstreamLeaves, "upstream-leaves"},
     {Event::kUpstreamCold, "upstream-cold"},
+    {Event::kZoneEvacuated, "zone-evacuated"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
--- a/src/placement/UpstreamExclusion.cpp
+++ b/src/placement/UpstreamExclusion.cpp
@@ -11,6 +11,8 @@
             return "draining";
         case ExclusionReason::kLeaving:
             return "leaving";
+        case ExclusionReason::kEvacuated:
+            return "evacuated";
         case ExclusionReason::kBackoff:
             return "backoff";
         case ExclusionReason::kCold:
@@ -26,6 +28,9 @@
     if (standing.leaving) {
         return Exclusion{ExclusionReason::kLeaving, std::nullopt};
     }
+    if (standing.evacuated) {
+        return Exclusion{ExclusionReason::kEvacuated, std::nullopt};
+    }
     if (standing.backoff) {
         return Exclusion{ExclusionReason::kBackoff, standing.backoff};
     }
--- a/tests/ColdUpstreamsTest.cpp
+++ b/tests/ColdUpstreamsTest.cpp
@@ -64,6 +64,8 @@
     CHECK(ExclusionOf(standing)->wait == 150);
     standing.backoff = 4000;
     CHECK(ExclusionOf(standing)->reason == ExclusionReason::kBackoff);
+    standing.evacuated = true;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kEvacuated);
     standing.leaving = true;
     CHECK(ExclusionOf(standing)->reason == ExclusionReason::kLeaving);
     CHECK_FALSE(ExclusionOf(standing)->wait);
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -171,7 +171,8 @@
     work->life = box.life;
     box.records.expirePeerLoads(m_now);
     const PlacementQuestion question{m_service, &m_spec, parts, tried, m_random()};
-    const auto place = PlaceAttempt(m_settings, box.upstreams, box.records, question, m_now);
+    const auto place =
+        PlaceAttempt({m_settings, box.upstreams, box.records, m_evacuations}, question, m_now);
     work->attempt = box.records.attemptBegan(place->upstream.incarnation(), [] {});
     m_figures.preferred += place->reason == PlacementReason::kPreferred ? 1 : 0;
     work->parts = parts;
--- a/tests/Fleet.h
+++ b/tests/Fleet.h
@@ -94,6 +94,8 @@
     std::mt19937_64 m_random;
     asio::io_context m_io{1};  // Never run: the records want one for connections.
     GatewaySettings m_settings;
+    Metrics m_metrics;
+    EvacuationList m_evacuations{m_metrics};  // None.
     ServiceSpec m_spec;
     ServiceId m_service{"models"};
     UpstreamChanges m_listed;
