Keep requests in the homes of route and team; spread them where zones are left out

Homes (HOME): allowed_regions of routes and tenants bind, both if both are there; the regions of zones come from the settings.

Whatever goes by loads is worse than chance here: counts are as old as requests are long, so all boxes run after the same upstreams. A subset of eight that a box shares with few others needs no count but its own.

--- a/include/config/Settings.h
+++ b/include/config/Settings.h
@@ -7,6 +7,7 @@
 #include "include/base/Time.h"
 #include "include/net/Net.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,6 +35,8 @@
     int64_t number(std::string_view key, int64_t otherwise, int64_t least, int64_t most);
     double real(std::string_view key, double otherwise, double least, double most);
     std::vector<std::string> texts(std::string_view key);
+    // A table of strings, whose keys may be any.
+    std::map<std::string, std::string> textTable(std::string_view key);
 
     // Like text, but the key must be there and not empty.
     std::string requiredText(std::string_view key);
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -13,6 +13,7 @@
 #include "include/placement/ChooseUpstream.h"
 #include "include/placement/ColdShare.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -22,12 +23,13 @@
 struct GatewaySettings {
     std::string box;
     std::string zone;
-    Endpoint callers;             // HTTP for callers.
-    Endpoint readiness;           // HTTP for the balancer's question.
-    Endpoint peers;               // Frames for other boxes.
-    Endpoint metrics;             // HTTP for /metrics.
-    Endpoint store;               // The object store.
-    std::vector<Endpoint> seeds;  // Boxes to meet the others through.
+    std::map<std::string, std::string> regions;  // Of availability zones, by zone.
+    Endpoint callers;                            // HTTP for callers.
+    Endpoint readiness;                          // HTTP for the balancer's question.
+    Endpoint peers;                              // Frames for other boxes.
+    Endpoint metrics;                            // HTTP for /metrics.
+    Endpoint store;                              // The object store.
+    std::vector<Endpoint> seeds;                 // Boxes to meet the others through.
     int64_t digestBudget = 4000;  // Bytes a second for what this box announces to the others.
     std::string logLevel = "info";
 
--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -20,6 +20,8 @@
 struct PlacementQuestion {
     const ServiceId& service;
     const ServiceSpec* spec = nullptr;         // Of the service, or null.
+    const Homes* routeHomes = nullptr;         // Null: none.
+    const Homes* teamHomes = nullptr;          // The same.
     std::span<const std::string> sharedParts;  // Of its prompt, in order.
     const std::set<std::string>& tried;        // Upstreams that had it, or did not take it.
     uint64_t draw = 0;                         // A random number of the request's own.
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -103,8 +103,9 @@
     // A request is in quarantine from now on. `source`: the box that told the last crash, or
     // "here". Preconditions: none.
     void quarantined(uint64_t fingerprint, size_t crashes, const std::string& source);
-    // How many requests are in quarantine. Preconditions: none.
-    void quarantineSize(size_t requests);
+    // How many requests are in quarantine, and how many crashes and answers wait to be told.
+    // Preconditions: none.
+    void quarantineSize(size_t requests, size_t waiting);
 
     // This box answered by itself. `admission`: null if the request was not admitted.
     // Preconditions: none.
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -48,6 +48,9 @@
     // What this box knows of the requests at an upstream. Preconditions: as above.
     KnownLoad load(const std::string& id, MonoTime now) const;
 
+    // This box's requests at an upstream. Preconditions: none.
+    int ownLoad(const std::string& id) const { return m_loads.own(id); }
+
     // How old the newest report of an upstream's load is, in milliseconds; nothing if none came.
     // Preconditions: as above.
     std::optional<Millis> reportAge(const std::string& id, MonoTime now) const {
@@ -150,6 +153,9 @@
     // How many boxes there are, and which part of the others announce their loads here.
     // Preconditions: as PeerCounts.
     void setSite(size_t boxes, double share) { m_peerCounts.setSite(boxes, share); }
+    // The place of this box among all, in an order that they agree on. Preconditions: none.
+    void setBoxRank(size_t rank) { m_boxRank = rank; }
+    size_t boxRank() const { return m_boxRank; }
 
 private:
     // The latest start that is known of an upstream.
@@ -176,6 +182,7 @@
     std::unordered_map<uint32_t, Life> m_lives;  // By upstream number; also of some that are gone.
     std::map<uint64_t, UnderWay> m_underWay;     // Attempts, by number.
     uint64_t m_attempts = 0;
+    size_t m_boxRank = 0;
 };
 
 }  // namespace onyx
--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -25,6 +25,7 @@
     bool ejected = false;       // See UpstreamHealth.
     bool holdsPrompt = false;   // It is known to hold the prompt's last shared part.
     bool loadReported = false;  // Its load follows from what it reported, not from a count.
+    int ownLoad = 0;            // This box's requests there.
     int load = 0;               // All boxes' requests there, as far as this box can tell.
     int slots = 1;              // Requests that it works on at once.
 };
@@ -45,6 +46,11 @@
     // Mean load of all upstreams, where it is known better than by the mean of the candidates'
     // loads: reports that are passed on are of full upstreams more often than of others.
     std::optional<double> meanLoad;
+    // Mean load of all upstreams of the service, those that are left out among them, where it is
+    // lower than that of the candidates: the operators' limit is a multiple of it.
+    std::optional<double> serviceMean;
+    // The place of this box among all boxes, in an order that they agree on.
+    size_t boxRank = 0;
     // The share of the requests that ask for this prompt, as far as this box can tell: 0 to 1.
     // With drawsBound, so many upstreams share the prompt that it brings each of them some quarter
     // of the mean load, before any count shows it.
--- a/include/placement/UpstreamExclusion.h
+++ b/include/placement/UpstreamExclusion.h
@@ -18,13 +18,14 @@
 
 // Why an upstream is left out; the first that holds counts.
 enum class ExclusionReason : uint8_t {
-    kDraining,  // The list says so.
-    kLeaving,   // It said in an answer that it is about to end.
-    kEvacuated,  // The operators evacuate its availability zone.
-    kBackoff,   // It asked this box for no requests for a while.
-    kCold,      // This box has no part, or none left now, in what it bears while it is cold.
+    kDraining,      // The list says so.
+    kLeaving,       // It said in an answer that it is about to end.
+    kOutsideHomes,  // It is in a region that the request's route or team may not be served in.
+    kEvacuated,     // The operators evacuate its availability zone.
+    kBackoff,       // It asked this box for no requests for a while.
+    kCold,          // This box has no part, or none left now, in what it bears while it is cold.
 };
-inline constexpr size_t kExclusionReasons = 5;
+inline constexpr size_t kExclusionReasons = 6;
 
 // The reason as it stands in logs and metrics. Thread safety: any thread.
 std::string_view ExclusionReasonName(ExclusionReason reason);
@@ -33,7 +34,8 @@
 struct UpstreamStanding {
     bool draining = false;
     bool leaving = false;
-    bool evacuated = false;  // Its zone is.
+    bool outsideHomes = false;       // Of the request that asks.
+    bool evacuated = false;          // Its zone is.
     std::optional<Millis> backoff;   // It wants no request for so long.
     std::optional<Millis> coldWait;  // It is cold, and this box waits so long; 0: no longer.
 };
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -147,6 +147,30 @@
     return values;
 }
 
+std::map<std::string, std::string> SettingsReader::textTable(std::string_view key) {
+    std::map<std::string, std::string> values;
+    const auto node = m_document->table.at_path(key);
+    if (!node) {
+        return values;
+    }
+    const auto* table = node.as_table();
+    if (table == nullptr) {
+        m_asked.emplace(key);
+        expect(key, "a table of strings", TypeName(*node.node()));
+        return values;
+    }
+    for (const auto& [name, item] : *table) {
+        const std::string itemKey = std::string(key) + "." + std::string(name.str());
+        m_asked.insert(itemKey);
+        if (const auto* value = item.as_string()) {
+            values.emplace(name.str(), value->get());
+        } else {
+            expect(itemKey, "a string", TypeName(item));
+        }
+    }
+    return values;
+}
+
 Endpoint SettingsReader::address(std::string_view key, std::string_view otherwise) {
     const std::string value = text(key, otherwise);
     const auto parsed = ParseEndpoint(value);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -126,6 +126,7 @@
     GatewaySettings settings;
     settings.box = reader.requiredText("box.name");
     settings.zone = reader.requiredText("box.zone");
+    settings.regions = reader.textTable("regions");
     ReadAddresses(reader, settings);
     settings.digestBudget =
         reader.number("peers.digest_bytes_per_second", settings.digestBudget, 50, 100000000);
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -1,5 +1,6 @@
 #include "include/gateway/LoadExchange.h"
 
+#include "include/base/Hash.h"
 #include "include/membership/DigestPeriod.h"
 #include "include/membership/DrawBoxes.h"
 
@@ -94,6 +95,10 @@
             others.push_back(box.address);
         }
     }
+    const uint64_t own = HashText(boxes.self());
+    const auto before = std::count_if(others.begin(), others.end(),
+                                      [&](const std::string& box) { return HashText(box) < own; });
+    m_records.setBoxRank(static_cast<size_t>(before));
     m_records.coldShare().setBoxes(boxes.self(), std::move(others), now);
 }
 
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -29,6 +29,17 @@
     return std::min(records.cold().waitFor(incarnation, spacing, now), *coldLeft);
 }
 
+// Both the route's and the team's homes bind. A zone whose region is not known is in none of them.
+bool IsInHomes(const Upstream& upstream, const GatewaySettings& settings,
+               const PlacementQuestion& question) {
+    const auto region = settings.regions.find(upstream.zone.value);
+    const std::string_view name = region == settings.regions.end() ? "" : region->second;
+    const auto allows = [&](const Homes* homes) {
+        return homes == nullptr || AllowsRegion(*homes, name);
+    };
+    return allows(question.routeHomes) && allows(question.teamHomes);
+}
+
 UpstreamStanding StandingOf(const Upstream& upstream, const PlacementKnowledge& knowledge,
                             const PlacementQuestion& question, MonoTime now) {
     const UpstreamRecords& records = knowledge.records;
@@ -37,15 +48,17 @@
     standing.draining = upstream.draining;
     standing.leaving = records.avoidance().isLeaving(incarnation);
     standing.backoff = records.avoidance().backoffLeft(incarnation, now);
+    standing.outsideHomes = !IsInHomes(upstream, knowledge.settings, question);
     standing.evacuated = knowledge.evacuations.orders().isEvacuated(
         upstream.zone, knowledge.upstreams.age(now), now);
     standing.coldWait = ColdWaitFor(upstream, knowledge, question, now);
     return standing;
 }
 
-// The upstreams of a service that a request may be sent to, and how many may not.
+// The upstreams of a service: those that a request may be sent to, and the others.
 struct Eligible {
     std::vector<const Upstream*> upstreams;
+    std::vector<const Upstream*> others;
     ExclusionTally leftOut;
 };
 
@@ -59,6 +72,7 @@
         const auto exclusion = ExclusionOf(StandingOf(entry.upstream, knowledge, question, now));
         if (exclusion) {
             eligible.leftOut.add(*exclusion);
+            eligible.others.push_back(&entry.upstream);
         } else {
             eligible.upstreams.push_back(&entry.upstream);
         }
@@ -106,6 +120,23 @@
     return service;
 }
 
+// Mean load of all upstreams of the service, where some are left out: they carry less.
+std::optional<double> ServiceMean(const Eligible& eligible, const UpstreamRecords& records,
+                                  MonoTime now) {
+    if (eligible.others.empty()) {
+        return std::nullopt;
+    }
+    std::vector<int> loads;
+    for (const auto* upstreams : {&eligible.upstreams, &eligible.others}) {
+        for (const Upstream* upstream : *upstreams) {
+            const KnownLoad known = records.load(upstream->id, now);
+            loads.push_back(records.loadsAreSampled() ? known.counted : known.exact);
+        }
+    }
+    const double share = records.loadsAreSampled() ? records.countedShare() : 1;
+    return LoadEstimate(loads, share).mean();
+}
+
 std::vector<PlacementCandidate> CandidatesOf(std::span<const Upstream* const> takingWork,
                                              std::string_view ownZone,
                                              const UpstreamRecords& records,
@@ -126,6 +157,7 @@
         candidate.ejected = records.isEjected(upstream->id, now);
         candidate.holdsPrompt =
             std::find(holders.begin(), holders.end(), ShortHash(upstream->id)) != holders.end();
+        candidate.ownLoad = records.ownLoad(upstream->id);
         candidate.load = loads.loads[i];
         candidate.loadReported = loads.known[i].report.has_value();
         candidate.slots = upstream->slots;
@@ -136,10 +168,14 @@
 
 PlacementPolicy PolicyFor(const GatewaySettings& settings, const UpstreamRecords& records,
                           const PlacementQuestion& question, std::optional<double> meanLoad,
-                          MonoTime now) {
+                          std::optional<double> serviceMean, MonoTime now) {
     const bool model = question.spec != nullptr && question.spec->model;
     PlacementPolicy policy = model ? settings.modelPlacement : settings.plainPlacement;
     auto* affinity = std::get_if<AffinityPolicy>(&policy);
+    if (affinity != nullptr) {
+        affinity->serviceMean = serviceMean;
+        affinity->boxRank = records.boxRank();
+    }
     if (affinity != nullptr && records.loadsAreSampled()) {
         affinity->drawsBound = true;
         affinity->meanLoad = meanLoad;
@@ -149,14 +185,16 @@
 }
 
 // The upstream from which `chosen` can fetch the prompt's shared parts, if there is one.
-std::optional<FetchSource> FetchSourceFor(const UpstreamList& upstreams,
+std::optional<FetchSource> FetchSourceFor(const GatewaySettings& settings,
+                                          const UpstreamList& upstreams,
                                           const UpstreamRecords& records,
                                           const PlacementQuestion& question, const Upstream& chosen,
                                           MonoTime now) {
     std::vector<CacheCandidate> candidates;
     std::vector<const Upstream*> holders;
     for (const auto& [id, entry] : upstreams.table().all()) {
-        if (entry.upstream.service != question.service) {
+        if (entry.upstream.service != question.service ||
+            !IsInHomes(entry.upstream, settings, question)) {
             continue;
         }
         const bool settled = now - entry.since >= CacheDirectory::kSettledAfter;
@@ -180,7 +218,8 @@
     const ServiceLoads service = LoadsOf(takingWork, records, now);
     const auto candidates =
         CandidatesOf(takingWork, settings.zone, records, question, service, now);
-    const PlacementPolicy policy = PolicyFor(settings, records, question, service.mean, now);
+    const PlacementPolicy policy = PolicyFor(settings, records, question, service.mean,
+                                             ServiceMean(eligible, records, now), now);
     const uint64_t promptHash =
         question.sharedParts.empty() ? question.draw : HashText(question.sharedParts.back());
     const auto chosen = ChooseUpstream(policy, candidates, promptHash, question.draw);
@@ -197,7 +236,7 @@
     AttemptPlace place{*takingWork[chosen->index], chosen->reason, loads, std::nullopt,
                        eligible.leftOut};
     if (question.spec != nullptr && question.spec->fetchesCache) {
-        place.source = FetchSourceFor(upstreams, records, question, place.upstream, now);
+        place.source = FetchSourceFor(settings, upstreams, records, question, place.upstream, now);
     }
     return place;
 }
--- a/src/gateway/QuarantineController.cpp
+++ b/src/gateway/QuarantineController.cpp
@@ -55,7 +55,7 @@
 
 void QuarantineController::expire(MonoTime now) {
     m_quarantine.expire(now);
-    m_log.quarantineSize(m_quarantine.quarantined(now));
+    m_log.quarantineSize(m_quarantine.quarantined(now), m_exchange.waiting());
 }
 
 void QuarantineController::tell() {
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -121,7 +121,13 @@
 }
 
 PlacementQuestion RequestHandler::placementQuestion() const {
-    return {m_admission.service, m_admission.spec, m_facts.sharedParts, m_tried, m_draw};
+    return {m_admission.service,
+            m_admission.spec,
+            &m_admission.route->homes,
+            m_admission.teamHomes,
+            m_facts.sharedParts,
+            m_tried,
+            m_draw};
 }
 
 Task<Verdict> RequestHandler::attempt(const AttemptPlace& place) {
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -135,8 +135,9 @@
                                           {"source", source}});
 }
 
-void RequestLog::quarantineSize(size_t requests) {
+void RequestLog::quarantineSize(size_t requests, size_t waiting) {
     m_metrics.set("onyx_quarantined_requests", {}, static_cast<double>(requests));
+    m_metrics.set("onyx_crash_reports_waiting", {}, static_cast<double>(waiting));
 }
 
 // What is not known of a request that was not admitted counts as "unknown".
--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -21,6 +21,12 @@
 // Upstreams share a prompt's requests if they carry no more than this over the mean each, in
 // requests: half of what the operators' limit leaves over the mean where upstreams are nearly idle.
 constexpr double kSharedMargin = 2.0;
+// Where the service's mean is below this part of the mean of the upstreams in use, one in so many
+// requests goes to its first choice, the others to so many upstreams that their box shares with
+// few.
+constexpr double kTightPart = 0.9;
+constexpr uint64_t kTightDraws = 4;
+constexpr size_t kSubset = 8;
 // The part of the mean load that one prompt may bring an upstream, before sharersOf doubles their
 // number. The rest of the limit is for other prompts.
 constexpr double kMaxPromptPart = 0.5;
@@ -87,6 +93,9 @@
             return nextWithRoom(order, bounds);
         }
         const size_t width = widthFor(policy.promptShare, order.size());
+        if (isTight(policy, mean)) {
+            return m_draw % kTightDraws == 0 ? order.front() : leastOwn(ownSubset(policy.boxRank));
+        }
         if (width == 1 && hasRoom(order.front(), bounds)) {
             return order.front();
         }
@@ -137,6 +146,31 @@
         return {order.begin(), at(order, width)};
     }
 
+    // Whether the upstreams in use carry so much more than the service's mean, since others are
+    // left out, that old counts are no help: all boxes would run after the same upstreams.
+    static bool isTight(const AffinityPolicy& policy, double mean) {
+        return policy.serviceMean && *policy.serviceMean < kTightPart * mean;
+    }
+
+    // A few upstreams that this box shares with a few others: boxes in their order take the next
+    // ones each, so that all upstreams are shared by as many boxes.
+    Indices ownSubset(size_t boxRank) const {
+        const size_t size = std::min(kSubset, m_usable.size());
+        Indices subset;
+        for (size_t i = 0; i < size; ++i) {
+            subset.push_back(m_usable[(boxRank * size + i) % m_usable.size()]);
+        }
+        return subset;
+    }
+
+    // The one with the fewest requests of this box, which it knows exactly. Preconditions: `from`
+    // is not empty.
+    size_t leastOwn(const Indices& from) const {
+        return Lowest(from, [&](size_t i) {
+            return std::make_pair(m_candidates[i].ownLoad, randomOrder(i));
+        });
+    }
+
     // The less loaded of two drawn at random. Preconditions: `from` is not empty.
     size_t lesserOfTwo(Indices from) const {
         const size_t drawn = std::min<size_t>(2, from.size());
@@ -158,7 +192,8 @@
     }
 
     Bounds boundsOf(const AffinityPolicy& policy, double mean) const {
-        const double highest = policy.multiple * mean + policy.margin;
+        const double limiting = std::min(mean, policy.serviceMean.value_or(mean));
+        const double highest = policy.multiple * limiting + policy.margin;
         if (!policy.drawsBound) {
             const int sharp = static_cast<int>(std::ceil(highest));
             return {sharp, sharp};
--- a/src/placement/UpstreamExclusion.cpp
+++ b/src/placement/UpstreamExclusion.cpp
@@ -11,6 +11,8 @@
             return "draining";
         case ExclusionReason::kLeaving:
             return "leaving";
+        case ExclusionReason::kOutsideHomes:
+            return "outside-homes";
         case ExclusionReason::kEvacuated:
             return "evacuated";
         case ExclusionReason::kBackoff:
@@ -28,6 +30,9 @@
     if (standing.leaving) {
         return Exclusion{ExclusionReason::kLeaving, std::nullopt};
     }
+    if (standing.outsideHomes) {
+        return Exclusion{ExclusionReason::kOutsideHomes, std::nullopt};
+    }
     if (standing.evacuated) {
         return Exclusion{ExclusionReason::kEvacuated, std::nullopt};
     }
--- a/src/routing/Catalog.cpp
+++ b/src/routing/Catalog.cpp
@@ -41,6 +41,10 @@
 
 }  // namespace
 
+bool AllowsRegion(const Homes& homes, std::string_view region) {
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
 Result<std::shared_ptr<const Catalog>> Catalog::Make(CatalogParts parts) {
     std::shared_ptr<Catalog> catalog(new Catalog(std::move(parts)));
     for (Route& route : catalog->m_parts.routes) {
--- a/tests/ColdUpstreamsTest.cpp
+++ b/tests/ColdUpstreamsTest.cpp
@@ -66,6 +66,8 @@
     CHECK(ExclusionOf(standing)->reason == ExclusionReason::kBackoff);
     standing.evacuated = true;
     CHECK(ExclusionOf(standing)->reason == ExclusionReason::kEvacuated);
+    standing.outsideHomes = true;
+    CHECK(ExclusionOf(standing)->reason == ExclusionReason::kOutsideHomes);
     standing.leaving = true;
     CHECK(ExclusionOf(standing)->reason == ExclusionReason::kLeaving);
     CHECK_FALSE(ExclusionOf(standing)->wait);
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -71,8 +71,8 @@
     for (size_t i = 0; i < size.upstreams; ++i) {
         m_servers.push_back(std::make_unique<Server>());
         m_serverByName[ServerName(i)] = i;
-        m_listed.changed.push_back(
-            {ServerName(i), m_service, "10.1.0.1:1", ZoneId("z"), false, size.slots});
+        m_listed.changed.push_back({ServerName(i), m_service, "10.1.0.1:1",
+                                    ZoneId(i % 3 == 0 ? "y" : "z"), false, size.slots});
     }
     m_boxes.resize(size.boxes);
     for (size_t i = 0; i < size.boxes; ++i) {
@@ -170,7 +170,8 @@
     Box& box = *m_boxes[work->box];
     work->life = box.life;
     box.records.expirePeerLoads(m_now);
-    const PlacementQuestion question{m_service, &m_spec, parts, tried, m_random()};
+    const PlacementQuestion question{m_service, &m_spec, nullptr,   nullptr,
+                                     parts,     tried,   m_random()};
     const auto place =
         PlaceAttempt({m_settings, box.upstreams, box.records, m_evacuations}, question, m_now);
     work->attempt = box.records.attemptBegan(place->upstream.incarnation(), [] {});
--- a/tests/Fleet.h
+++ b/tests/Fleet.h
@@ -60,6 +60,8 @@
     void setRate(double factor) { m_rate = factor; }
     // A share of the first kind of request asks for one prompt from now on.
     void setHotShare(double share) { m_hotShare = share; }
+    // No box sends to a third of the upstreams from now on: their zone is evacuated.
+    void evacuateThird() { m_evacuations.apply({true, 1, {"y"}, {}}, false, "test", m_now); }
     // The first `share` of the boxes start anew: their requests end, they know nothing.
     void restart(double share);
 
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -55,6 +55,18 @@
     CHECK(fleet.play(kWindow).overShare() < kMaxOver);
 }
 
+// Guards against a bound on loads that follows the mean of the upstreams in use alone, while the
+// operators' limit follows the mean of all.
+TEST_CASE("While a zone is evacuated no upstream of the others is over the limit") {
+    constexpr double kMaxAllowed = 0.03;  // The operators' limit.
+    Fleet fleet(kSite, Traffic(), kSeed);
+    fleet.play(kWindow);
+    fleet.evacuateThird();
+    fleet.play(1000);
+    CHECK(fleet.play(kWindow).overShare() < kMaxAllowed);
+    CHECK(fleet.play(kWindow).overShare() < kMaxAllowed);
+}
+
 TEST_CASE("Boxes of an earlier version get digests and no frames that they do not know") {
     asio::io_context io;
     UpstreamRecords records(io.get_executor(), {});
--- /dev/null
+++ b/tests/ZoneEvacuationsTest.cpp
@@ -0,0 +1,76 @@
+#include "include/health/ZoneEvacuations.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace onyx;
+
+namespace {
+
+const ZoneId kZone("near");
+
+EvacuationChanges Whole(uint64_t revision, std::vector<std::string> zones) {
+    return {true, revision, std::move(zones), {}};
+}
+
+}  // namespace
+
+TEST_CASE("A zone is evacuated from its order on until the order is gone") {
+    ZoneEvacuations orders;
+    CHECK_FALSE(orders.isEvacuated(kZone, 0, {0}));
+    CHECK(orders.take({false, 2, {"near"}, {}}, false, {0}).begun.size() == 1);
+    CHECK(orders.isEvacuated(kZone, 0, {60000}));
+    CHECK_FALSE(orders.isEvacuated(ZoneId("far"), 0, {60000}));
+    CHECK(orders.take({false, 3, {}, {"near"}}, false, {70000}).ended.size() == 1);
+    CHECK_FALSE(orders.isEvacuated(kZone, 0, {70001}));
+}
+
+// Guards against requests for upstreams that became cold while their zone was evacuated, by a box
+// that does not know it yet.
+TEST_CASE("A zone that is taken back waits for a list of upstreams from after that") {
+    ZoneEvacuations orders;
+    orders.take(Whole(2, {"near"}), false, {0});
+    orders.take(Whole(3, {}), false, {10000});
+    CHECK(orders.isEvacuated(kZone, 700, {10500}));
+    CHECK_FALSE(orders.isEvacuated(kZone, 400, {10500}));
+    CHECK(orders.isEvacuated(kZone, std::nullopt, {10500}));
+    CHECK_FALSE(orders.isEvacuated(kZone, 60000, {10000 + ZoneEvacuations::kMaxReturn}));
+}
+
+TEST_CASE("Who knows less changes nothing, but a store that was restored does") {
+    ZoneEvacuations orders;
+    orders.take(Whole(5, {"near"}), false, {0});
+    orders.take(Whole(4, {}), false, {100});
+    CHECK(orders.isEvacuated(kZone, 0, {200}));
+    orders.take(Whole(4, {}), true, {300});
+    CHECK(orders.zones().empty());
+    CHECK(orders.revision() == 4);
+}
+
+// Whatever way the orders come, each box is at the store's state once it has its newest revision.
+TEST_CASE("Orders that are told in any order lead to the newest") {
+    std::minstd_rand random(7);
+    const std::vector<std::string> zones = {"a", "b", "c"};
+    for (int run = 0; run < 200; ++run) {
+        std::vector<EvacuationChanges> history;
+        std::vector<std::string> stand;
+        for (uint64_t revision = 1; revision <= 8; ++revision) {
+            const std::string& zone = zones[random() % zones.size()];
+            const auto it = std::find(stand.begin(), stand.end(), zone);
+            if (it == stand.end()) {
+                stand.push_back(zone);
+            } else {
+                stand.erase(it);
+            }
+            history.push_back(Whole(revision, stand));
+        }
+        ZoneEvacuations orders;
+        std::shuffle(history.begin(), history.end(), random);
+        for (const EvacuationChanges& told : history) {
+            orders.take(told, false, {static_cast<Millis>(run)});
+        }
+        CHECK(orders.zones() == std::set<std::string>(stand.begin(), stand.end()));
+    }
+}
