Keep bytes for requests in quarantine; hand on each crash that a box sees

Evidence: lines 2105 and 2007 of all boxes. One box quarantined it at 20.79 s, a second at 20.98, the third by its own crashes at 21.70. At 5.57 s some hundred innocent requests had been tried again at once at upstreams that ended in the same moment, so each had two crashes, one after the other, and was a suspect that all boxes were told of; 14 s later their news still took all bytes. Ruled out: an answer that cleared it (no line 2000 answered of its ids), crashes that were not seen (27 lines 2105).

Now 5,000 of the saved bytes are kept for requests in quarantine, news of suspects older than 5 s are dropped, the latest go first, and a box hands on each crash that it sees to where all crashes of its request meet, also of a suspect.

--- a/src/gateway/CrashExchange.cpp
+++ b/src/gateway/CrashExchange.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace onyx {
 
@@ -36,7 +37,11 @@
 constexpr double kSuspectBytes = 600;
 constexpr double kSingleBytes = 400;
 constexpr double kSecondsSaved = 16;
-constexpr double kPlenty = 0.75;  // Bytes are short when less than this part of them is left.
+// Of what is for suspects, kept for requests in quarantine: many that have nothing to do with the
+// loss of their upstreams are tried again at one that ends in the same moment.
+constexpr double kCauseReserve = 5000;
+constexpr Millis kNewsAge = 5000;  // Older crashes of suspects are not told on.
+constexpr double kPlenty = 0.75;   // Bytes are short when less than this part of them is left.
 // Bytes of a frame without its entries, and of an entry.
 constexpr double kFrameBytes = 80;
 constexpr double kEntryBytes = sizeof(wire::CrashEntry);
@@ -90,13 +95,15 @@
     if (learned == Learned::kNothing || (wasQuarantined && origin == Origin::kTold)) {
         return false;
     }
+    // Where all crashes of a request meet, the third is known soonest.
+    if (origin == Origin::kSeen || !isSuspect(sighting.request)) {
+        Append(m_singles, {sighting, origin});
+    }
     if (learned == Learned::kQuarantine) {
         tellAll(sighting.request, kQuarantineRounds, now);
-    } else if (!isSuspect(sighting.request)) {
-        Append(m_singles, {sighting, origin});
     } else if (wasSuspect) {
         Append(m_suspects, {sighting, kRounds});
-    } else {
+    } else if (isSuspect(sighting.request)) {
         tellAll(sighting.request, kRounds, now);
     }
     return learned == Learned::kQuarantine;
@@ -104,8 +111,6 @@
 
 // A box that missed one of the crashes gets it from each box that learns of the next.
 void CrashExchange::tellAll(uint64_t request, int rounds, MonoTime now) {
-    std::erase_if(m_singles,
-                  [&](const SingleCrash& news) { return news.sighting.request == request; });
     std::erase_if(m_suspects,
                   [&](const CrashNews& news) { return news.sighting.request == request; });
     for (const CrashSighting& sighting : m_quarantine.sightingsOf(request, now)) {
@@ -213,33 +218,40 @@
     }
 }
 
-// Takes what all boxes are to be told of suspects in this round: of requests with the most crashes
-// first.
+// Takes what all boxes are to be told in this round: of requests in quarantine first, then the
+// latest crashes.
 std::vector<OutgoingFrame> CrashExchange::takeSuspects(const std::string& self,
                                                        std::span<const std::string> linked,
                                                        MonoTime now) {
     std::vector<std::string> to =
         DrawBoxes({linked.begin(), linked.end()}, kFanOut, self, ++m_round);
-    const auto crashesOf = [&](const CrashNews& news) {
-        return m_quarantine.crashes(news.sighting.request);
+    const auto isCause = [&](const CrashNews& news) {
+        return isQuarantined(news.sighting.request, now);
     };
-    std::stable_sort(
-        m_suspects.begin(), m_suspects.end(),
-        [&](const CrashNews& a, const CrashNews& b) { return crashesOf(a) > crashesOf(b); });
+    std::erase_if(m_suspects, [&](const CrashNews& news) {
+        return !isCause(news) && now - news.sighting.crashed > kNewsAge;
+    });
+    std::stable_sort(m_suspects.begin(), m_suspects.end(),
+                     [&](const CrashNews& a, const CrashNews& b) {
+                         return std::make_pair(isCause(a), a.sighting.crashed) >
+                                std::make_pair(isCause(b), b.sighting.crashed);
+                     });
     wire::CrashReportsT reports;
     double left = m_forSuspects.left() / static_cast<double>(to.size()) - kFrameBytes;
-    const auto pays = [&] {
-        left -= kEntryBytes;
-        return left >= 0;
+    const double reserve = kCauseReserve / static_cast<double>(to.size());
+    const auto pays = [&](double kept) {
+        const bool enough = left - kEntryBytes >= kept;
+        left -= enough ? kEntryBytes : 0;
+        return enough;
     };
     for (AnswerNews& news : m_answers) {
-        if (pays()) {
+        if (pays(reserve)) {
             AddAnswer(news.request, news.at, now, reports);
             --news.rounds;
         }
     }
     for (CrashNews& news : m_suspects) {
-        if (pays()) {
+        if (pays(isCause(news) ? 0 : reserve)) {
             AddCrash(news.sighting, now, reports);
             --news.rounds;
         }
--- a/tests/CrashExchangeTest.cpp
+++ b/tests/CrashExchangeTest.cpp
@@ -67,6 +67,12 @@
         const auto id = static_cast<uint32_t>(m_random());
         box(seenBy).exchange.noteCrash({request, id, upstream, m_now - 50, m_now}, m_now);
     }
+    // The same `after` milliseconds later, of an attempt that was there for as long.
+    void crashAfter(uint32_t upstream, size_t seenBy, uint64_t request, Millis after) {
+        const auto id = static_cast<uint32_t>(m_random());
+        const MonoTime at = m_now + after;
+        box(seenBy).exchange.noteCrash({request, id, upstream, m_now + 1, at}, at);
+    }
     uint32_t newUpstream() { return static_cast<uint32_t>(m_random()); }
 
     bool isQuarantined(size_t at, uint64_t request) {
@@ -172,6 +178,11 @@
         for (size_t i = 0; i < site.size() * kLostPerBox; ++i) {
             const uint64_t fingerprint = fingerprintOf(++request);
             site.crashOf(upstreams.at(i % upstreams.size()), site.anyBox(), fingerprint);
+            // Tried again at once, at an upstream that ends in the same moment.
+            if (i % 5 == 0) {
+                const size_t box = site.anyBox();
+                site.crashAfter(upstreams.at((i + 1) % upstreams.size()), box, fingerprint, 3);
+            }
             if (i % 3 == 0) {
                 answered.push_back(fingerprint);
             }
