Spread requests only while whole zones are left out, and then nearly all

Cause: new upstreams that are still cold counted as left out, so each scale_out spread prompts over subsets. Only evacuated zones and those outside the homes count now.

--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -46,8 +46,8 @@
     // Mean load of all upstreams, where it is known better than by the mean of the candidates'
     // loads: reports that are passed on are of full upstreams more often than of others.
     std::optional<double> meanLoad;
-    // Mean load of all upstreams of the service, those that are left out among them, where it is
-    // lower than that of the candidates: the operators' limit is a multiple of it.
+    // Mean load of the candidates and of the zones that are left out: the operators' limit is a
+    // multiple of it. Nothing: no zone is.
     std::optional<double> serviceMean;
     // The place of this box among all boxes, in an order that they agree on.
     size_t boxRank = 0;
--- a/include/placement/UpstreamExclusion.h
+++ b/include/placement/UpstreamExclusion.h
@@ -44,6 +44,11 @@
 struct Exclusion {
     ExclusionReason reason = ExclusionReason::kDraining;
     std::optional<Millis> wait;  // For so long, if that is known.
+
+    // Whether it is left out with its whole zone, until an operator changes that.
+    bool isOfZone() const {
+        return reason == ExclusionReason::kEvacuated || reason == ExclusionReason::kOutsideHomes;
+    }
 };
 
 // Preconditions: none. Thread safety: any thread.
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -55,10 +55,11 @@
     return standing;
 }
 
-// The upstreams of a service: those that a request may be sent to, and the others.
+// The upstreams of a service: those that a request may be sent to, and those that are left out for
+// as long as their zone is.
 struct Eligible {
     std::vector<const Upstream*> upstreams;
-    std::vector<const Upstream*> others;
+    std::vector<const Upstream*> zonesLeftOut;
     ExclusionTally leftOut;
 };
 
@@ -72,7 +73,9 @@
         const auto exclusion = ExclusionOf(StandingOf(entry.upstream, knowledge, question, now));
         if (exclusion) {
             eligible.leftOut.add(*exclusion);
-            eligible.others.push_back(&entry.upstream);
+            if (exclusion->isOfZone()) {
+                eligible.zonesLeftOut.push_back(&entry.upstream);
+            }
         } else {
             eligible.upstreams.push_back(&entry.upstream);
         }
@@ -120,14 +123,15 @@
     return service;
 }
 
-// Mean load of all upstreams of the service, where some are left out: they carry less.
+// Mean load of the service's upstreams where whole zones are left out, which carry less. What
+// leaves or warms up does so for less time than the operators take their mean over.
 std::optional<double> ServiceMean(const Eligible& eligible, const UpstreamRecords& records,
                                   MonoTime now) {
-    if (eligible.others.empty()) {
+    if (eligible.zonesLeftOut.empty()) {
         return std::nullopt;
     }
     std::vector<int> loads;
-    for (const auto* upstreams : {&eligible.upstreams, &eligible.others}) {
+    for (const auto* upstreams : {&eligible.upstreams, &eligible.zonesLeftOut}) {
         for (const Upstream* upstream : *upstreams) {
             const KnownLoad known = records.load(upstream->id, now);
             loads.push_back(records.loadsAreSampled() ? known.counted : known.exact);
--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -25,7 +25,7 @@
 // requests goes to its first choice, the others to so many upstreams that their box shares with
 // few.
 constexpr double kTightPart = 0.9;
-constexpr uint64_t kTightDraws = 4;
+constexpr uint64_t kTightDraws = 64;
 constexpr size_t kSubset = 8;
 // The part of the mean load that one prompt may bring an upstream, before sharersOf doubles their
 // number. The rest of the limit is for other prompts.
