--- a/src/gateway/CrashExchange.cpp
+++ b/src/gateway/CrashExchange.cpp
@@ -297,6 +297,7 @@
                [&](auto& reports) { AddAnswer(news.request, news.at, now, reports); });
     }
     std::vector<OutgoingFrame> frames;
+    frames.reserve(byBox.size());
     for (auto& [box, reports] : byBox) {
         frames.push_back({{box}, EncodeMessage(std::move(reports))});
     }
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -32,8 +32,12 @@
 // Both the route's and the team's homes bind. A zone whose region is not known is in none of them.
 bool IsInHomes(const Upstream& upstream, const GatewaySettings& settings,
                const PlacementQuestion& question) {
+    const auto isUnbound = [](const Homes* homes) { return homes == nullptr || homes->empty(); };
+    if (isUnbound(question.routeHomes) && isUnbound(question.teamHomes)) {
+        return true;
+    }
     const auto region = settings.regions.find(upstream.zone.value);
-    const std::string_view name = region == settings.regions.end() ? "" : region->second;
+    const std::string name = region == settings.regions.end() ? std::string() : region->second;
     const auto allows = [&](const Homes* homes) {
         return homes == nullptr || AllowsRegion(*homes, name);
     };
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -113,7 +113,7 @@
 std::optional<AttemptPlace> RequestHandler::place() {
     const MonoTime now = ReadClocks().mono;
     m_context.records.expirePeerLoads(now);
-    const auto place = PlaceAttempt(m_context.placement(), placementQuestion(), now);
+    auto place = PlaceAttempt(m_context.placement(), placementQuestion(), now);
     if (place) {
         m_context.records.cold().noteSent(place->upstream.incarnation(), now);
     }
