Take a cold upstream's shrinking rest for no change

Untouched code did not read the field.

Now an update that moves the end of the cold time by no more than 500 ms is no change. Test: UpstreamListTest "Of a cold upstream only the beginning".

--- a/src/gateway/UpstreamList.cpp
+++ b/src/gateway/UpstreamList.cpp
@@ -3,12 +3,16 @@
 #include "include/observe/Events.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 
 namespace onyx {
 
 namespace {
 
+// In milliseconds. The end of a cold time is news if it moves by more than this.
+constexpr Millis kColdNews = 500;
+
 void LogChange(const Upstream& upstream, std::string_view source) {
     logEvent(Event::kUpstreamChanged, {{"upstream", upstream.id},
                                        {"service", upstream.service.value},
@@ -96,10 +100,22 @@
     }
 }
 
+// A cold upstream writes how long it stays cold again and again, which changes nothing: told on
+// each time, a zone that comes back would cost each box and each link four lists.
+bool UpstreamList::saysNew(const Upstream& upstream, MonoTime now) const {
+    const Upstream* known = m_table.find(upstream.id);
+    if (known == nullptr) {
+        return true;
+    }
+    Upstream apartFromCold = upstream;
+    apartFromCold.coldLeft = known->coldLeft;
+    const Millis change = upstream.coldLeft - coldLeft(upstream.id, now);
+    return apartFromCold != *known || std::abs(change) > kColdNews;
+}
+
 void UpstreamList::put(const Upstream& upstream, uint64_t revision, std::string_view source,
                        MonoTime now) {
-    const Upstream* known = m_table.find(upstream.id);
-    if (known != nullptr && *known == upstream) {
+    if (!saysNew(upstream, now)) {
         return;
     }
     noteStart(upstream, source);
--- a/tests/UpstreamListTest.cpp
+++ b/tests/UpstreamListTest.cpp
@@ -149,3 +149,29 @@
     CHECK_FALSE(records.isCurrent(number, 0));
     CHECK(records.isCurrent(number, StartTag(2000)));
 }
+
+// Guards against lists that are told on for each second that an upstream is less cold.
+TEST_CASE("Of a cold upstream only the beginning and what moves its end are changes") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    list.apply(Whole(3, {"a"}), "store", {100});
+    const auto say = [&](uint64_t revision, Millis left, Millis at) {
+        UpstreamChanges changes;
+        changes.revision = revision;
+        changes.changed.push_back(UpstreamOf("a"));
+        changes.changed.back().coldLeft = left;
+        list.apply(changes, "store", {at});
+        return list.table().changesSince(revision - 1).changed.size();
+    };
+    CHECK(say(4, 3000, 1000) == 1);
+    CHECK(list.coldLeft("a", {1000}) == 3000);
+    CHECK(say(5, 1800, 2200) == 0);
+    CHECK(say(6, 0, 4100) == 0);
+    CHECK(list.coldLeft("a", {4100}) == 0);
+    CHECK(say(7, 3000, 10000) == 1);
+    CHECK(say(8, 3000, 11500) == 1);
+    CHECK(list.coldLeft("a", {11500}) == 3000);
+    CHECK(say(9, 0, 12000) == 1);
+    CHECK(list.coldLeft("a", {12000}) == 0);
+}
