Read figures of the settings as whole numbers or fractions

Every process ends with code 2, bad-input: line 33, Error while parsing floating-point. The template wrote slack = {{bounds.budget_slack}}.0, and there the figure is no whole number; times in seconds got three zeros appended, which would make 7.5 s into 7.5 ms.

A whole number is also read from a fraction, rounded; the two times in seconds have keys of their own (retry.window_s, drain.grace_s), and those in milliseconds stay. A number that is NaN is now rejected; the comparison let it pass before.

--- a/include/config/Settings.h
+++ b/include/config/Settings.h
@@ -31,9 +31,14 @@
 
     // Each returns the value of the dotted key, or `otherwise` where the file does not have it.
     // A wrong type or range is kept as a problem. Preconditions: none.
+    // A number may be written whole or as a fraction; `number` rounds to a whole one.
     std::string text(std::string_view key, std::string_view otherwise);
     int64_t number(std::string_view key, int64_t otherwise, int64_t least, int64_t most);
     double real(std::string_view key, double otherwise, double least, double most);
+    // A time in milliseconds, which the file has under one key in milliseconds or under the other
+    // in seconds; the one in seconds counts if there are both.
+    Millis duration(std::string_view millisKey, std::string_view secondsKey, Millis otherwise,
+                    Millis least, Millis most);
     std::vector<std::string> texts(std::string_view key);
     // A table of strings, whose keys may be any.
     std::map<std::string, std::string> textTable(std::string_view key);
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -2,7 +2,9 @@
 
 #include <toml++/toml.h>
 
+#include <cmath>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 namespace onyx {
@@ -24,6 +26,20 @@
     return out.str();
 }
 
+// The value of a number, rounded to a whole one. Empty for other types and for numbers that no
+// setting can have.
+std::optional<int64_t> WholeNumber(const toml::node& node) {
+    constexpr double kLargest = 1e15;
+    if (const auto* whole = node.as_integer()) {
+        return whole->get();
+    }
+    const auto* fraction = node.as_floating_point();
+    if (fraction == nullptr || !(std::abs(fraction->get()) <= kLargest)) {
+        return std::nullopt;
+    }
+    return std::llround(fraction->get());
+}
+
 void CollectKeys(const toml::table& table, const std::string& prefix,
                  std::vector<std::string>& keys) {
     for (const auto& [name, node] : table) {
@@ -95,18 +111,28 @@
     if (!node) {
         return otherwise;
     }
-    const auto* value = node.as_integer();
     const std::string range =
-        "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
-    if (value == nullptr) {
+        "a number from " + std::to_string(least) + " to " + std::to_string(most);
+    const auto value = WholeNumber(*node.node());
+    if (!value) {
         expect(key, range, TypeName(*node.node()));
         return otherwise;
     }
-    if (value->get() < least || value->get() > most) {
-        expect(key, range, std::to_string(value->get()));
+    if (*value < least || *value > most) {
+        expect(key, range, std::to_string(*value));
         return otherwise;
     }
-    return value->get();
+    return *value;
+}
+
+Millis SettingsReader::duration(std::string_view millisKey, std::string_view secondsKey,
+                                Millis otherwise, Millis least, Millis most) {
+    constexpr double kMillisPerSecond = 1000;
+    const Millis fromMillis = number(millisKey, otherwise, least, most);
+    const double seconds = real(secondsKey, static_cast<double>(fromMillis) / kMillisPerSecond,
+                                static_cast<double>(least) / kMillisPerSecond,
+                                static_cast<double>(most) / kMillisPerSecond);
+    return static_cast<Millis>(std::llround(seconds * kMillisPerSecond));
 }
 
 double SettingsReader::real(std::string_view key, double otherwise, double least, double most) {
@@ -118,7 +144,7 @@
     const auto value = node.value<double>();
     std::ostringstream range;
     range << "a number from " << least << " to " << most;
-    if (!value || *value < least || *value > most) {
+    if (!value || !(*value >= least && *value <= most)) {  // Also rejects a value that is NaN.
         expect(key, range.str(), value ? std::to_string(*value) : TypeName(*node.node()));
         return otherwise;
     }
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -82,7 +82,8 @@
 
 LocalRetryBudgetSettings ReadRetry(SettingsReader& reader) {
     const LocalRetryBudgetSettings defaults;
-    const Millis window = reader.number("retry.window_ms", defaults.window, 100, kDay);
+    const Millis window =
+        reader.duration("retry.window_ms", "retry.window_s", defaults.window, 100, kDay);
     const double share = reader.real("retry.share", defaults.share, 0.0, 1.0);
     const double slack = reader.real("retry.slack", defaults.slack, 0.0, 1e9);
     const size_t minBoxes = ReadCount(reader, "retry.boxes", defaults.minBoxes, 1);
@@ -97,7 +98,8 @@
 }
 
 DrainSettings ReadDrain(SettingsReader& reader) {
-    const Millis grace = reader.number("drain.grace_ms", kDefaultGrace, 500, kDay);
+    const Millis grace =
+        reader.duration("drain.grace_ms", "drain.grace_s", kDefaultGrace, 500, kDay);
     DrainSettings drain;
     drain.accept = reader.number("drain.accept_ms", DrainSettings::DefaultAccept(grace), 0, kDay);
     drain.limit = DrainSettings::DefaultLimit(grace);
