Roll out new versions of a service, and roll bad ones back

Seen: nothing of it existed. A new version of a service got its full part of the requests as soon as its upstreams were listed, a bad one until its upstreams were ejected one by one, and no status was written.

Change: a module rollout of pure decisions (stages, share of the requests, comparison of the versions, versions without an order), RolloutList and RolloutController of the gateway, the platform's orders and status in platform/. No box leads; evidence is pooled at the boxes that call the store; each box keeps the exposure by itself; the first status that the store takes ends the rollout. The ways weighed stand in docs/design/rollouts.md.

Old and new: fields and a frame are added at the ends; a build before this one passes over the frame and sends to all versions alike. Without rollout.exposure_share nothing is watched or sent.

RolloutTest goes the whole way from the order to the status against the stand-ins.

--- a/cmake/Onyxcleat.cmake
+++ b/cmake/Onyxcleat.cmake
@@ -22,7 +22,7 @@
      ${ONYX_ROOT}/src/placement/*.cpp ${ONYX_ROOT}/src/admission/*.cpp
      ${ONYX_ROOT}/src/membership/*.cpp ${ONYX_ROOT}/src/routing/*.cpp
      ${ONYX_ROOT}/src/health/*.cpp ${ONYX_ROOT}/src/relay/*.cpp ${ONYX_ROOT}/src/freshness/*.cpp
-     ${ONYX_ROOT}/src/lifecycle/*.cpp)
+     ${ONYX_ROOT}/src/lifecycle/*.cpp ${ONYX_ROOT}/src/rollout/*.cpp)
 add_library(onyx_decisions STATIC ${DECISION_SOURCES})
 target_include_directories(onyx_decisions PUBLIC
     $<BUILD_INTERFACE:${ONYX_ROOT}> $<INSTALL_INTERFACE:include/onyxcleat>)
@@ -32,8 +32,8 @@
 file(GLOB RUNTIME_SOURCES CONFIGURE_DEPENDS ${ONYX_ROOT}/src/config/*.cpp
      ${ONYX_ROOT}/src/wire/*.cpp ${ONYX_ROOT}/src/net/*.cpp ${ONYX_ROOT}/src/store/*.cpp
      ${ONYX_ROOT}/src/observe/*.cpp)
-# Only the report on error budgets needs these.
-list(FILTER RUNTIME_SOURCES EXCLUDE REGEX "/(HttpClient|Burn)\\.cpp$")
+# Only the report on error budgets needs this.
+list(FILTER RUNTIME_SOURCES EXCLUDE REGEX "/Burn\\.cpp$")
 add_library(onyx_runtime STATIC ${RUNTIME_SOURCES})
 target_link_libraries(onyx_runtime PUBLIC onyx_decisions spdlog::spdlog nlohmann_json::nlohmann_json
                       flatbuffers Threads::Threads)
--- a/include/base/HttpStatus.h
+++ b/include/base/HttpStatus.h
@@ -12,6 +12,7 @@
     static constexpr unsigned kUnauthorized = 401;
     static constexpr unsigned kNotFound = 404;
     static constexpr unsigned kRequestTimeout = 408;
+    static constexpr unsigned kConflict = 409;
     static constexpr unsigned kGone = 410;
     static constexpr unsigned kPayloadTooLarge = 413;
     static constexpr unsigned kMisdirected = 421;
--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -99,6 +99,15 @@
     virtual Result<ObjectPage> readPage(ObjectKind kind, std::string_view body) const = 0;
     virtual Result<ObjectChanges> readChanges(ObjectKind kind, std::string_view body) const = 0;
 
+    // The call that writes the status of an order, provided that the order has not changed since
+    // it was read. Preconditions: none.
+    virtual StoreWrite rolloutStatusWrite(const RolloutOrder& order,
+                                          const RolloutStatus& status) const = 0;
+
+    // Body of an answer to such a call: the order as it is now. Errors: kProtocol, kBadInput naming
+    // the field. Preconditions: none.
+    virtual Result<RolloutOrder> readRollout(std::string_view body) const = 0;
+
     // A configuration as another box passed it on. Errors: kBadInput naming the field.
     // Preconditions: none.
     virtual Result<StoredConfiguration> readConfiguration(std::string_view text) const = 0;
--- a/include/freshness/RefreshPlanner.h
+++ b/include/freshness/RefreshPlanner.h
@@ -88,6 +88,9 @@
         return !m_callInputs.isWatcher && !m_callInputs.inSmallZone && m_callInputs.links > 0;
     }
 
+    // Whether the zone is so small that every box of it watches the store. Preconditions: none.
+    bool isInSmallZone() const { return m_callInputs.inSmallZone; }
+
 private:
     void updateCallInputs(const RefreshInputs& inputs, MonoTime now);
     bool shouldQueryPeers(const RefreshInputs& inputs) const;
--- a/include/freshness/StorePacing.h
+++ b/include/freshness/StorePacing.h
@@ -50,10 +50,10 @@
 // thread.
 Millis ConfigurationWait(Millis freshLimit);
 
-// How long an evacuation watch is held if an evacuation order has to take effect within `bound`: a
-// watch whose connection is silent is abandoned and sent again well within the bound.
-// Preconditions: bound >= 0. Thread safety: any thread.
-Millis EvacuationWait(Millis bound);
+// How long a watch for orders of the operators (evacuations, rollouts) is held if an order has to
+// take effect within `bound`: a watch whose connection is silent is abandoned and sent again well
+// within the bound. Preconditions: bound >= 0. Thread safety: any thread.
+Millis OrderWait(Millis bound);
 
 // Inputs of the pacing besides the settings.
 struct StorePacingInputs {
--- a/include/gateway/Attempt.h
+++ b/include/gateway/Attempt.h
@@ -45,6 +45,7 @@
     MonoTime nextPieceDeadline() const;
     void learnFromHead();
     bool isOfPast() const;
+    std::optional<Millis> timeToFirstByte(AttemptEnd end, Millis took) const;
     void noteHealth(AttemptEnd end);
 
     RequestContext& m_context;
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -5,6 +5,8 @@
 //   UpstreamList        the list of upstreams and its age
 //   UpstreamRecords     their health, loads and caches, kept connections
 //   QuarantineController  which requests crash upstreams
+//   RolloutList         the operators' rollout orders and their age
+//   RolloutController   the rollouts, as this box carries them out
 //   Lifecycle           how far this box's life has come, requests under way
 //   LocalRetryBudgets     this box's part of the retry budget
 //   StoreController     the watches of the store and whether it answers
@@ -71,11 +73,13 @@
     UpstreamRecords m_records;
     UpstreamList m_upstreams;
     EvacuationList m_evacuations;
+    RolloutList m_rolloutList;
     Lifecycle m_lifecycle;
     LocalRetryBudgets m_retries;
     RequestLog m_log;
     StoreController m_store;
     PeerMesh m_mesh;
+    RolloutController m_rollouts;
     PeerSync m_sync;
     QuarantineController m_quarantine;
     RequestContext m_context;
--- a/include/gateway/GatewaySettings.h
+++ b/include/gateway/GatewaySettings.h
@@ -19,6 +19,15 @@
 
 namespace onyx {
 
+// What the operators demand of rollouts.
+struct RolloutSettings {
+    // Bound on the share of requests that a new version gets while it is on trial, 0 to 1; 0: there
+    // are no rollouts here.
+    double exposureLimit = 0;
+    // A version that was found bad gets no requests after this, in milliseconds.
+    Millis bound = 5000;
+};
+
 // All times in milliseconds.
 struct GatewaySettings {
     std::string box;
@@ -46,6 +55,7 @@
     Millis idleConnection = 10000;  // A kept connection to an upstream is closed after this,
     Millis onceConnection = 2000;   // and carries no unrepeatable request after this, since it may
                                     // have ended without a word.
+    RolloutSettings rollout;
     ColdLimit cold;  // Of upstreams that are cold; what one bears stands in the configuration.
     LocalRetryBudgetSettings retry;
     HealthSettings health;
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -35,6 +35,7 @@
         std::function<void(const std::string& from, const wire::KnowledgeAskT&)> onKnowledgeQuery;
         std::function<void(const std::string& from, const wire::KnowledgeReplyT&)> onKnowledgeReply;
         std::function<void(const std::string& from, const wire::CrashReportsT&)> onCrashReports;
+        std::function<void(const std::string& from, const wire::RolloutReportsT&)> onRolloutReports;
         std::function<void(const std::string& address)> onLinked;  // A link is established.
     };
 
--- a/include/gateway/PeerSync.h
+++ b/include/gateway/PeerSync.h
@@ -12,10 +12,13 @@
 #include "include/freshness/PeerQueries.h"
 #include "include/freshness/RefreshPlanner.h"
 #include "include/gateway/PeerMesh.h"
+#include "include/gateway/RolloutController.h"
 #include "include/gateway/StoreController.h"
 
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace onyx {
 
@@ -36,6 +39,7 @@
     ConfigurationState& configuration;
     UpstreamList& upstreams;
     EvacuationList& evacuations;
+    RolloutController& rollouts;
 };
 
 // Not thread safe: one io_context.
@@ -68,6 +72,10 @@
     // Whether this box may call the store now for objects of this kind. Preconditions: none.
     bool mayCallStore(ObjectKind kind);
 
+    // The boxes that judge the versions which are rolled out, and so receive the counts of this
+    // one: the watcher that it follows, or in a small zone all linked boxes. Preconditions: none.
+    std::vector<std::string> judgingPeers() const;
+
     // Whether this box currently relies on other boxes instead of calling the store.
     // Preconditions: none.
     bool following() const { return !m_storeCall.calls; }
@@ -90,6 +98,8 @@
     void apply(const PeerUpdate& update);
     void addEvacuations(wire::KnowledgeReplyT& reply, MonoTime now) const;
     void applyEvacuations(const std::string& from, const wire::KnowledgeReplyT& reply);
+    void countMissingOrders(ObjectKind kind, bool told, const std::string& from,
+                            const wire::KnowledgeReplyT& reply);
     wire::KnowledgeAskT makeQuery(uint64_t round) const;
     StateAges ages(MonoTime now) const;
     bool isOverdue(MonoTime now) const { return IsOverdue(m_settings.pacing, ages(now)); }
@@ -101,6 +111,7 @@
     ConfigurationState& m_configuration;
     UpstreamList& m_upstreams;
     EvacuationList& m_evacuations;
+    RolloutController& m_rollouts;
     StoreController& m_store;
     PeerMesh& m_mesh;
     PeerQueries m_peerQueries;
@@ -108,7 +119,8 @@
     StoreCallDecision m_storeCall;  // The decision of the last step.
     std::string m_watcher;          // Address of the box that replaces the store; empty if none.
     CopyRead m_copyRead;
-    int m_repliesWithoutEvacuations = 0;  // Consecutive ones from the watcher.
+    // By kind of orders, consecutive replies of the watcher that did not tell them.
+    std::map<ObjectKind, int> m_repliesWithoutOrders;
 };
 
 }  // namespace onyx
--- a/include/gateway/PlaceAttempt.h
+++ b/include/gateway/PlaceAttempt.h
@@ -8,6 +8,7 @@
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
 #include "include/placement/UpstreamExclusion.h"
+#include "include/placement/VersionRule.h"
 
 #include <optional>
 #include <set>
@@ -25,6 +26,7 @@
     std::span<const std::string> sharedParts;             // Of its prompt, in order.
     const std::set<std::string>& tried;  // Upstreams that had it, or did not take it.
     uint64_t draw = 0;                   // A random number of the request's own.
+    VersionRule versions;                // Of the service's upstreams that may be chosen.
 };
 
 // An upstream that holds a prompt's shared parts, and how that is known.
@@ -52,6 +54,7 @@
     LoadsAtChoice loads;
     std::optional<FetchSource> source;  // Where the prompt's cached parts are fetched from.
     ExclusionTally leftOut;             // Upstreams that could not be chosen.
+    bool holdsPrompt = false;           // The upstream is known to hold the prompt's shared parts.
 };
 
 // What placement may read.
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -11,6 +11,7 @@
 #include "include/gateway/PlaceAttempt.h"
 #include "include/gateway/QuarantineController.h"
 #include "include/gateway/RequestLog.h"
+#include "include/gateway/RolloutController.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
 #include "include/lifecycle/Drain.h"
@@ -33,6 +34,7 @@
     const PeerMesh& mesh;
     RequestLog& log;
     QuarantineController& quarantine;
+    RolloutController& rollouts;
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -35,7 +35,10 @@
     std::optional<Refusal> checkQuarantine(MonoTime now);
     Task<AfterAnswer> serve();
     std::optional<AttemptPlace> place();
-    PlacementQuestion placementQuestion() const;
+    PlacementQuestion placementQuestion(VersionRule versions) const;
+    VersionRule versionRule(bool mayTry, MonoTime now) const;
+    uint64_t promptHash() const;
+    void noteAnswer(const AttemptPlace& place, const AttemptReport& report);
     void noteLeftOut(Refusal& refusal) const;
     Task<Verdict> attempt(const AttemptPlace& place);
     Verdict judge(AttemptEnd end);
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -30,6 +30,7 @@
     bool leaving = false;                 // The upstream's answer says that it is about to end.
     std::optional<Millis> backoff;        // It asks for no requests for so long.
     Millis took = 0;
+    std::optional<Millis> firstByte;  // After the attempt began; empty: the caller got none of it.
     ConnectionReport connection;
 };
 
--- a/include/gateway/StoreController.h
+++ b/include/gateway/StoreController.h
@@ -1,6 +1,6 @@
 // Follows the store. Owns a watch for each kind of objects (the configuration, the upstreams and,
-// if enabled, the evacuations), logs whether the store is reachable, and applies the updates to the
-// configuration, the upstream list and the evacuation list. StorePacing decides when the store is
+// if enabled, the evacuations and the rollouts), logs whether the store is reachable, and applies
+// the updates to the lists that own these objects. StorePacing decides when the store is
 // called. The watches are paused while this box follows another one.
 #pragma once
 
@@ -8,6 +8,7 @@
 #include "include/gateway/ConfigurationState.h"
 #include "include/gateway/EvacuationList.h"
 #include "include/gateway/GatewaySettings.h"
+#include "include/gateway/RolloutList.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/observe/Metrics.h"
 #include "include/store/StoreWatch.h"
@@ -28,8 +29,8 @@
     // Preconditions: all arguments but `facts` outlive the controller.
     StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
                     const Dialect& dialect, ConfigurationState& configuration,
-                    UpstreamList& upstreams, EvacuationList& evacuations, Metrics& metrics,
-                    std::function<StorePacingInputs()> facts, MayCall mayCall);
+                    UpstreamList& upstreams, EvacuationList& evacuations, RolloutList& rollouts,
+                    Metrics& metrics, std::function<StorePacingInputs()> facts, MayCall mayCall);
 
     // Begins to follow the store. Preconditions: called once.
     void start();
@@ -54,6 +55,7 @@
     void applyConfiguration(const StoreUpdate& update);
     void applyUpstreams(const StoreUpdate& update);
     void applyEvacuations(const StoreUpdate& update);
+    void applyRollouts(const StoreUpdate& update);
     bool isOlderCopy(const StoreUpdate& update, const StoredConfiguration& configuration) const;
     UpstreamChanges makeUpstreamChanges(const StoreUpdate& update) const;
     void recordUnreadable(const std::string& object, const std::string& why) const;
@@ -64,6 +66,7 @@
     ConfigurationState& m_configurationState;
     UpstreamList& m_upstreamList;
     EvacuationList& m_evacuationList;
+    RolloutList& m_rolloutList;
     Metrics& m_metrics;
     std::function<StorePacingInputs()> m_pacingFacts;
     MayCall m_mayCall;
--- a/include/placement/UpstreamExclusion.h
+++ b/include/placement/UpstreamExclusion.h
@@ -22,10 +22,11 @@
     kLeaving,           // Announced in an answer that it is about to shut down.
     kRegionNotAllowed,  // In a region where the request's route or team must not be served.
     kEvacuated,         // The operators are evacuating its availability zone.
+    kVersion,           // Of a version that the request may not be sent to; see VersionRule.
     kBackoff,           // Asked this box to send no requests for a while.
     kCold,              // Cold, and this box may send it no request now (see ColdShare).
 };
-inline constexpr size_t kExclusionReasonCount = 6;
+inline constexpr size_t kExclusionReasonCount = 7;
 
 // Returns the reason's name as used in logs and metrics. Thread safety: any thread.
 std::string_view ExclusionReasonName(ExclusionReason reason);
@@ -34,9 +35,10 @@
 struct ExclusionInputs {
     bool draining = false;
     bool leaving = false;
-    bool regionNotAllowed = false;  // For the request being placed.
-    bool evacuated = false;         // Its zone is being evacuated.
-    std::optional<Millis> backoff;  // Time left for which it accepts no request, in milliseconds.
+    bool regionNotAllowed = false;   // For the request being placed.
+    bool evacuated = false;          // Its zone is being evacuated.
+    bool versionNotAllowed = false;  // For the request being placed.
+    std::optional<Millis> backoff;   // Time left for which it accepts no request, in milliseconds.
     std::optional<Millis>
         coldWait;  // Set if cold: this box's wait before it may send, in ms; 0: none.
 };
@@ -46,10 +48,11 @@
     ExclusionReason reason = ExclusionReason::kDraining;
     std::optional<Millis> wait;  // Time until it is available again, in milliseconds, if known.
 
-    // Returns true if its whole zone is excluded, until an operator changes that.
-    bool isZoneWide() const {
+    // Returns true if its whole zone or version is excluded, until an operator or the end of a
+    // rollout changes that.
+    bool isWholesale() const {
         return reason == ExclusionReason::kEvacuated ||
-               reason == ExclusionReason::kRegionNotAllowed;
+               reason == ExclusionReason::kRegionNotAllowed || reason == ExclusionReason::kVersion;
     }
 };
 
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -36,6 +36,7 @@
     int slots = 1;          // Requests that it runs concurrently.
     int64_t startedMs = 0;  // See Incarnation.
     Millis coldLeft = 0;  // Time for which it is still cold, as of the report, in ms; 0: not cold.
+    std::string version;  // Of its software; empty: unknown.
 
     Incarnation incarnation() const { return {id, startedMs}; }
     friend bool operator==(const Upstream&, const Upstream&) = default;
--- a/include/store/ObjectStore.h
+++ b/include/store/ObjectStore.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "include/base/Error.h"
+#include "include/rollout/RolloutOrder.h"
 #include "include/routing/Catalog.h"
 #include "include/routing/UpstreamTable.h"
 
@@ -15,7 +16,7 @@
 namespace onyx {
 
 // The kinds of objects that a box reads.
-enum class ObjectKind : uint8_t { kConfiguration, kUpstreams, kEvacuations };
+enum class ObjectKind : uint8_t { kConfiguration, kUpstreams, kEvacuations, kRollouts };
 
 // What a list is read from.
 enum class ListSource : uint8_t {
@@ -41,7 +42,14 @@
 struct StoredObject {
     std::string name;
     bool removed = false;
-    std::variant<NoContent, StoredConfiguration, Upstream, Evacuation, Error> content;
+    std::variant<NoContent, StoredConfiguration, Upstream, Evacuation, RolloutOrder, Error> content;
+};
+
+// A call that changes an object.
+struct StoreWrite {
+    std::string method;
+    std::string target;
+    std::string body;
 };
 
 // One answer of a list call.
--- a/src/freshness/StorePacing.cpp
+++ b/src/freshness/StorePacing.cpp
@@ -57,7 +57,7 @@
     return freshLimit * 5 / 9;
 }
 
-Millis EvacuationWait(Millis bound) {
+Millis OrderWait(Millis bound) {
     return bound / 2;
 }
 
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -31,6 +31,7 @@
     report.timedOut = ended.timedOut;
     report.unreachable = m_exchange->unreachable();
     report.took = ReadClocks().mono - m_start;
+    report.firstByte = timeToFirstByte(ended.end, report.took);
     report.connection = m_exchange->connection();
     report.leaving = m_exchange->facts().leaving;
     report.backoff = m_exchange->facts().backoff;
@@ -40,6 +41,16 @@
     co_return report;
 }
 
+// An answer that is passed on whole has its first byte for the caller at its end.
+std::optional<Millis> Attempt::timeToFirstByte(AttemptEnd end, Millis took) const {
+    const auto at = m_relay.firstByteAt();
+    if (at && *at >= m_start) {
+        return *at - m_start;
+    }
+    const bool isWhole = end == AttemptEnd::kAnswered && !m_relay.headSent();
+    return isWhole ? std::optional<Millis>(took) : std::nullopt;
+}
+
 Task<RelayEnd> Attempt::exchange() {
     const bool connected = co_await connect();
     if (!connected) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -18,11 +18,12 @@
       m_records(io.get_executor(), settings.health),
       m_upstreams(m_records),
       m_evacuations(m_metrics),
+      m_rolloutList(m_metrics),
       m_retries(settings.retry, ReadClocks().mono),
       m_log(m_metrics),
       m_store(
           io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_evacuations,
-          m_metrics, [this] { return pacingFacts(); },
+          m_rolloutList, m_metrics, [this] { return pacingFacts(); },
           [this](ObjectKind kind) { return m_sync.mayCallStore(kind); }),
       m_mesh(io, settings, m_records, m_metrics,
              {[this](const std::string& from, const wire::KnowledgeAskT& ask) {
@@ -34,14 +35,26 @@
               [this](const std::string& from, const wire::CrashReportsT& reports) {
                   m_quarantine.onReports(from, reports);
               },
+              [this](const std::string& from, const wire::RolloutReportsT& reports) {
+                  m_rollouts.onReports(from, reports);
+              },
               [this](const std::string& address) {
                   m_sync.onLinked(address);
                   m_quarantine.onLinked(address);
               }}),
-      m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations}, m_store, m_mesh),
+      m_rollouts(io, settings, dialect, m_upstreams, m_rolloutList, m_metrics,
+                 {[this] { return !m_sync.following(); },
+                  [this](const wire::RolloutReportsT& reports) {
+                      for (const std::string& address : m_sync.judgingPeers()) {
+                          m_mesh.send(address, reports);
+                      }
+                  }}),
+      m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
+             m_mesh),
       m_quarantine(io, m_records, m_mesh, m_log),
       m_context{io,        settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
-                m_records, m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine},
+                m_records, m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
+                m_rollouts},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -61,6 +74,7 @@
     m_store.start();
     Spawn(m_io.get_executor(), trimConnections());
     Spawn(m_io.get_executor(), m_sync.run());
+    Spawn(m_io.get_executor(), m_rollouts.run());
     return true;
 }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -97,6 +97,13 @@
     return limit;
 }
 
+RolloutSettings ReadRollout(SettingsReader& reader) {
+    RolloutSettings rollout;
+    rollout.exposureLimit = reader.real("rollout.exposure_share", rollout.exposureLimit, 0.0, 1.0);
+    rollout.bound = reader.number("rollout.bound_ms", rollout.bound, 100, kDay);
+    return rollout;
+}
+
 DrainSettings ReadDrain(SettingsReader& reader) {
     const Millis grace =
         reader.duration("drain.grace_ms", "drain.grace_s", kDefaultGrace, 500, kDay);
@@ -144,6 +151,7 @@
     settings.modelPlacement = ReadPolicy(reader, "placement.model", "affinity");
     settings.plainPlacement = ReadPolicy(reader, "placement.plain", "zone-first");
     settings.cold = ReadCold(reader);
+    settings.rollout = ReadRollout(reader);
     settings.drain = ReadDrain(reader);
     return settings;
 }
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -273,6 +273,8 @@
         m_sink.onKnowledgeReply(address, *reply);
     } else if (const auto* reports = body.AsCrashReports()) {
         m_sink.onCrashReports(address, *reports);
+    } else if (const auto* rollouts = body.AsRolloutReports()) {
+        m_sink.onRolloutReports(address, *rollouts);
     }
 }
 
--- a/src/gateway/PeerMessages.cpp
+++ b/src/gateway/PeerMessages.cpp
@@ -14,6 +14,7 @@
     entry->slots = upstream.slots;
     entry->started_ms = upstream.startedMs;
     entry->cold_ms = static_cast<uint32_t>(upstream.coldLeft);
+    entry->software = upstream.version;
     return entry;
 }
 
@@ -21,7 +22,8 @@
     return {entry.id,         ServiceId(entry.service),
             entry.address,    ZoneId(entry.zone),
             entry.leaving,    entry.slots,
-            entry.started_ms, Millis{entry.cold_ms}};
+            entry.started_ms, Millis{entry.cold_ms},
+            entry.software};
 }
 
 }  // namespace
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -13,9 +13,9 @@
 // In milliseconds. Period at which this box decides which boxes to query and whether to
 // call the store. Short compared with the shortest of the times that these decisions depend on.
 constexpr Millis kStepPeriod = 100;
-// A watcher that has sent this many consecutive replies without evacuations runs an earlier build.
-// Fewer are not enough: a watcher that has just started has no evacuation list yet.
-constexpr int kMaxRepliesWithoutEvacuations = 4;
+// A watcher that has sent this many consecutive replies without orders of a kind runs an earlier
+// build. Fewer are not enough: a watcher that has just started has no list of orders yet.
+constexpr int kMaxRepliesWithoutOrders = 4;
 
 RefreshPlannerSettings PlannerSettings(const GatewaySettings& settings) {
     RefreshPlannerSettings planner;
@@ -34,6 +34,7 @@
       m_configuration(synced.configuration),
       m_upstreams(synced.upstreams),
       m_evacuations(synced.evacuations),
+      m_rollouts(synced.rollouts),
       m_store(store),
       m_mesh(mesh),
       m_refreshPlanner(PlannerSettings(settings), ReadClocks().mono, std::random_device{}()) {}
@@ -97,8 +98,9 @@
 
 bool PeerSync::mayCallStore(ObjectKind kind) {
     const MonoTime now = ReadClocks().mono;
-    return (kind == ObjectKind::kEvacuations &&
-            m_repliesWithoutEvacuations >= kMaxRepliesWithoutEvacuations) ||
+    const auto missing = m_repliesWithoutOrders.find(kind);
+    return (missing != m_repliesWithoutOrders.end() &&
+            missing->second >= kMaxRepliesWithoutOrders) ||
            m_refreshPlanner.mayCall(ages(now).older(), now);
 }
 
@@ -167,6 +169,7 @@
         }
     }
     addEvacuations(reply, now);
+    m_rollouts.addTo(reply, now);
     m_mesh.send(from, std::move(reply));
 }
 
@@ -182,15 +185,30 @@
     reply.evacuated.assign(orders.zones().begin(), orders.zones().end());
 }
 
-// If the watcher runs an earlier build that does not send evacuations, this box reads them from the
-// store.
+// If the watcher runs an earlier build that does not send orders of this kind, this box reads them
+// from the store.
+void PeerSync::countMissingOrders(ObjectKind kind, bool told, const std::string& from,
+                                  const wire::KnowledgeReplyT& reply) {
+    if (from != m_watcher) {
+        return;
+    }
+    int& missing = m_repliesWithoutOrders[kind];
+    missing = !told && reply.watches ? missing + 1 : 0;
+    if (missing == kMaxRepliesWithoutOrders) {
+        m_store.wake();
+    }
+}
+
+std::vector<std::string> PeerSync::judgingPeers() const {
+    if (!m_storeCall.calls) {
+        return m_watcher.empty() ? std::vector<std::string>() : std::vector{m_watcher};
+    }
+    return m_refreshPlanner.isInSmallZone() ? m_mesh.linkedAddresses() : std::vector<std::string>();
+}
+
 void PeerSync::applyEvacuations(const std::string& from, const wire::KnowledgeReplyT& reply) {
-    if (from == m_watcher && m_settings.evacuationBound > 0) {
-        const bool hasNoEvacuations = !reply.tells_evacuations && reply.watches;
-        m_repliesWithoutEvacuations = hasNoEvacuations ? m_repliesWithoutEvacuations + 1 : 0;
-        if (m_repliesWithoutEvacuations == kMaxRepliesWithoutEvacuations) {
-            m_store.wake();
-        }
+    if (m_settings.evacuationBound > 0) {
+        countMissingOrders(ObjectKind::kEvacuations, reply.tells_evacuations, from, reply);
     }
     if (!reply.tells_evacuations) {
         return;
@@ -207,6 +225,11 @@
 void PeerSync::onKnowledgeReply(const std::string& from, const wire::KnowledgeReplyT& reply) {
     const bool requestedChanges = m_peerQueries.endFetch(reply.round) || from == m_watcher;
     applyEvacuations(from, reply);
+    if (m_settings.rollout.exposureLimit > 0) {
+        countMissingOrders(ObjectKind::kRollouts, reply.tells_rollouts, from, reply);
+        m_rollouts.applyReply(reply, m_peerQueries.stateAsOf(reply.round, reply.rollouts_age_ms),
+                              from == m_watcher, ReadClocks().mono);
+    }
     const auto asOf = m_peerQueries.stateAsOf(reply.round, reply.age_ms);
     if (asOf) {
         apply({reply.content, reply.revision, *asOf, ReadUpstreamChanges(reply),
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -57,15 +57,16 @@
     inputs.regionNotAllowed = !IsInHomes(upstream, knowledge.settings, question);
     inputs.evacuated = knowledge.evacuations.orders().isEvacuated(
         upstream.zone, knowledge.upstreams.age(now), now);
+    inputs.versionNotAllowed = !AllowsUpstream(question.versions, upstream);
     inputs.coldWait = ColdWaitFor(upstream, knowledge, question, now);
     return inputs;
 }
 
 // The upstreams of a service: those that a request may be sent to, and those that are left out for
-// as long as their zone is.
+// as long as their zone or version is.
 struct Eligible {
     std::vector<const Upstream*> upstreams;
-    std::vector<const Upstream*> zonesLeftOut;
+    std::vector<const Upstream*> leftOutWholesale;
     ExclusionTally leftOut;
 };
 
@@ -79,8 +80,8 @@
         const auto exclusion = ExclusionOf(StandingOf(entry.upstream, knowledge, question, now));
         if (exclusion) {
             eligible.leftOut.add(*exclusion);
-            if (exclusion->isZoneWide()) {
-                eligible.zonesLeftOut.push_back(&entry.upstream);
+            if (exclusion->isWholesale()) {
+                eligible.leftOutWholesale.push_back(&entry.upstream);
             }
         } else {
             eligible.upstreams.push_back(&entry.upstream);
@@ -129,15 +130,15 @@
     return service;
 }
 
-// Mean load of the service's upstreams where whole zones are left out, which carry less. What
-// leaves or warms up does so for less time than the operators take their mean over.
+// Mean load of the service's upstreams where whole zones or versions are left out, which carry
+// less. What leaves or warms up does so for less time than the operators take their mean over.
 std::optional<double> ServiceMean(const Eligible& eligible, const UpstreamRecords& records,
                                   MonoTime now) {
-    if (eligible.zonesLeftOut.empty()) {
+    if (eligible.leftOutWholesale.empty()) {
         return std::nullopt;
     }
     std::vector<int> loads;
-    for (const auto* upstreams : {&eligible.upstreams, &eligible.zonesLeftOut}) {
+    for (const auto* upstreams : {&eligible.upstreams, &eligible.leftOutWholesale}) {
         for (const Upstream* upstream : *upstreams) {
             const UpstreamLoad known = records.load(upstream->id, now);
             loads.push_back(records.loadsAreSampled() ? known.counted : known.exact);
@@ -194,7 +195,8 @@
     return policy;
 }
 
-// The upstream from which `chosen` can fetch the prompt's shared parts, if there is one.
+// The upstream from which `chosen` can fetch the prompt's shared parts, if there is one. Caches of
+// another version are of no use, because they may be those of other weights.
 std::optional<FetchSource> FetchSourceFor(const GatewaySettings& settings,
                                           const UpstreamList& upstreams,
                                           const UpstreamRecords& records,
@@ -204,6 +206,7 @@
     std::vector<const Upstream*> holders;
     for (const auto& [id, entry] : upstreams.table().all()) {
         if (entry.upstream.service != question.service ||
+            entry.upstream.version != chosen.version ||
             !IsInHomes(entry.upstream, settings, question)) {
             continue;
         }
@@ -244,8 +247,12 @@
                               chosen->meanLoad,
                               chosen->bound,
                               records.peersWithLoads()};
-    AttemptPlace place{*acceptingUpstreams[chosen->index], chosen->reason, loads, std::nullopt,
-                       eligible.leftOut};
+    AttemptPlace place{*acceptingUpstreams[chosen->index],
+                       chosen->reason,
+                       loads,
+                       std::nullopt,
+                       eligible.leftOut,
+                       candidate.holdsPrompt};
     if (question.spec != nullptr && question.spec->fetchesCache) {
         place.source = FetchSourceFor(settings, upstreams, records, question, place.upstream, now);
     }
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "include/gateway/RequestHandler.h"
 
+#include "include/base/Hash.h"
 #include "include/base/HttpStatus.h"
 #include "include/gateway/HttpText.h"
 #include "include/health/RequestFingerprint.h"
@@ -112,24 +113,41 @@
     }
 }
 
+// A first attempt may go to a version that is on trial; where that one has no upstream that may be
+// chosen, and for a retry, the version in service gets the request.
 std::optional<AttemptPlace> RequestHandler::place() {
     const MonoTime now = ReadClocks().mono;
     m_context.records.expirePeerLoads(now);
-    auto place = PlaceAttempt(m_context.placement(), placementQuestion(), now);
+    auto place = PlaceAttempt(m_context.placement(),
+                              placementQuestion(versionRule(m_tried.empty(), now)), now);
+    if (!place && m_tried.empty()) {
+        place =
+            PlaceAttempt(m_context.placement(), placementQuestion(versionRule(false, now)), now);
+    }
     if (place) {
         m_context.records.cold().recordSend(place->upstream.incarnation(), now);
+        m_context.rollouts.recordSend(place->upstream);
     }
     return place;
 }
 
-PlacementQuestion RequestHandler::placementQuestion() const {
+VersionRule RequestHandler::versionRule(bool mayTry, MonoTime now) const {
+    return m_context.rollouts.ruleFor(m_admission.service, promptHash(), mayTry, now);
+}
+
+uint64_t RequestHandler::promptHash() const {
+    return m_facts.sharedParts.empty() ? m_draw : HashText(m_facts.sharedParts.back());
+}
+
+PlacementQuestion RequestHandler::placementQuestion(VersionRule versions) const {
     return {m_admission.service,
             m_admission.spec,
             &m_admission.route->allowedRegions,
             m_admission.teamAllowedRegions,
             m_facts.sharedParts,
             m_tried,
-            m_draw};
+            m_draw,
+            std::move(versions)};
 }
 
 Task<Verdict> RequestHandler::attempt(const AttemptPlace& place) {
@@ -146,11 +164,26 @@
         report.fingerprint = fingerprint();
         noteBroken(place.upstream, report);
     }
+    noteAnswer(place, report);
     const Verdict verdict = judge(report.end);
     m_context.log.attemptEnded(m_facts.id, report, verdict);
     co_return verdict;
 }
 
+// The time of an answer can be compared with others if the upstream is warm and need not read the
+// prompt first. What a caller that left has not received says nothing.
+void RequestHandler::noteAnswer(const AttemptPlace& place, const AttemptReport& report) {
+    if (m_caller.gone()) {
+        return;
+    }
+    const bool isCold = m_context.records.cold()
+                            .coldLeft(place.upstream.incarnation(), ReadClocks().mono)
+                            .has_value();
+    const bool isComparable = !isCold && (m_facts.sharedParts.empty() || place.holdsPrompt);
+    m_context.rollouts.recordAnswer({place.upstream, m_admission.route->name, report.end,
+                                     isComparable ? report.firstByte : std::nullopt});
+}
+
 uint64_t RequestHandler::fingerprint() {
     if (!m_fingerprint) {
         const std::string_view method = m_message.method_string();
@@ -195,7 +228,9 @@
 
 // Where no upstream may be sent to, the caller is told why and when the first one is back.
 void RequestHandler::noteLeftOut(Refusal& refusal) const {
-    const auto leftOut = AllLeftOut(m_context.placement(), placementQuestion(), ReadClocks().mono);
+    const MonoTime now = ReadClocks().mono;
+    const auto leftOut =
+        AllLeftOut(m_context.placement(), placementQuestion(versionRule(false, now)), now);
     if (!leftOut) {
         return;
     }
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -17,6 +17,8 @@
             return "upstreams";
         case ObjectKind::kEvacuations:
             return "evacuations";
+        case ObjectKind::kRollouts:
+            return "rollouts";
     }
     return "invalid";
 }
@@ -33,14 +35,15 @@
 StoreController::StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
                                  const Dialect& dialect, ConfigurationState& configuration,
                                  UpstreamList& upstreams, EvacuationList& evacuations,
-                                 Metrics& metrics, std::function<StorePacingInputs()> facts,
-                                 MayCall mayCall)
+                                 RolloutList& rollouts, Metrics& metrics,
+                                 std::function<StorePacingInputs()> facts, MayCall mayCall)
     : m_executor(std::move(executor)),
       m_settings(settings),
       m_dialect(dialect),
       m_configurationState(configuration),
       m_upstreamList(upstreams),
       m_evacuationList(evacuations),
+      m_rolloutList(rollouts),
       m_metrics(metrics),
       m_pacingFacts(std::move(facts)),
       m_mayCall(std::move(mayCall)) {}
@@ -50,6 +53,9 @@
     if (m_settings.evacuationBound > 0) {
         kinds.push_back(ObjectKind::kEvacuations);
     }
+    if (m_settings.rollout.exposureLimit > 0) {
+        kinds.push_back(ObjectKind::kRollouts);
+    }
     for (const ObjectKind kind : kinds) {
         const auto& watch = m_watches[kind] = makeWatch(kind);
         Spawn(m_executor, watch->run());
@@ -85,13 +91,18 @@
             return m_upstreamList.table().revision();
         case ObjectKind::kEvacuations:
             return m_evacuationList.orders().revision();
+        case ObjectKind::kRollouts:
+            return m_rolloutList.revision();
     }
     return 0;
 }
 
 Millis StoreController::watchWait(ObjectKind kind) const {
     if (kind == ObjectKind::kEvacuations) {
-        return EvacuationWait(m_settings.evacuationBound);
+        return OrderWait(m_settings.evacuationBound);
+    }
+    if (kind == ObjectKind::kRollouts) {
+        return OrderWait(m_settings.rollout.bound);
     }
     const StorePacingSettings& pacing = m_settings.pacing;
     const bool configuration = kind == ObjectKind::kConfiguration;
@@ -99,8 +110,8 @@
     return WatchWait(pacing, m_pacingFacts(), wait);
 }
 
-// A configuration change or an evacuation must take effect at once, so there is no pause after it.
-// Changes of upstreams are batched.
+// A configuration change, an evacuation or a rollout must take effect at once, so there is no pause
+// after it. Changes of upstreams are batched.
 Millis StoreController::pauseAfterChanges(ObjectKind kind) const {
     return kind == ObjectKind::kUpstreams ? PauseAfterChanges(m_settings.pacing, m_pacingFacts())
                                           : 0;
@@ -139,6 +150,8 @@
             return applyUpstreams(update);
         case ObjectKind::kEvacuations:
             return applyEvacuations(update);
+        case ObjectKind::kRollouts:
+            return applyRollouts(update);
     }
 }
 
@@ -200,6 +213,33 @@
     }
 }
 
+// An order that cannot be read leaves the known one unchanged.
+void StoreController::applyRollouts(const StoreUpdate& update) {
+    RolloutChanges changes;
+    changes.whole = update.whole;
+    changes.revision = update.revision;
+    std::map<std::string, const StoredObject*> last;  // The last object for a service counts.
+    for (const StoredObject& object : update.objects) {
+        if (const auto* error = std::get_if<Error>(&object.content)) {
+            recordUnreadable("rollout " + object.name, error->text());
+        } else {
+            last[object.name] = &object;
+        }
+    }
+    for (const auto& [service, object] : last) {
+        if (const auto* order = std::get_if<RolloutOrder>(&object->content)) {
+            changes.changed.push_back(*order);
+        } else if (object->removed) {
+            changes.removed.push_back(service);
+        }
+    }
+    const bool authoritative = update.whole && update.asOf;
+    m_rolloutList.apply(changes, authoritative, "store");
+    if (update.asOf) {
+        m_rolloutList.confirm(*update.asOf);
+    }
+}
+
 void StoreController::recordUnreadable(const std::string& object, const std::string& why) const {
     m_metrics.count("onyx_objects_unreadable_total");
     logEvent(Event::kObjectBad, {{"object", object}, {"why", why}});
--- a/src/gateway/UpstreamList.cpp
+++ b/src/gateway/UpstreamList.cpp
@@ -89,13 +89,18 @@
     }
 }
 
-// An entry from a box of an earlier version has no start time, so the recorded one is used. An
-// entry of an earlier incarnation, which a box or a copy of the store may deliver late, is ignored.
+// An entry from a box of an earlier build has no start time and no version, so the recorded ones
+// are used. An entry of an earlier incarnation, which a box or a copy of the store may deliver
+// late, is ignored.
 void UpstreamList::applyEntry(Upstream upstream, uint64_t revision, std::string_view source,
                               MonoTime now) {
     if (upstream.startedMs == 0) {
         upstream.startedMs = m_records.latestStartOf(upstream.id);
     }
+    const Upstream* known = m_table.find(upstream.id);
+    if (upstream.version.empty() && known != nullptr) {
+        upstream.version = known->version;
+    }
     if (!m_records.isSuperseded(upstream.incarnation())) {
         put(upstream, revision, source, now);
     }
--- a/src/placement/UpstreamExclusion.cpp
+++ b/src/placement/UpstreamExclusion.cpp
@@ -15,6 +15,8 @@
             return "outside-homes";
         case ExclusionReason::kEvacuated:
             return "evacuated";
+        case ExclusionReason::kVersion:
+            return "version";
         case ExclusionReason::kBackoff:
             return "backoff";
         case ExclusionReason::kCold:
@@ -36,6 +38,9 @@
     if (inputs.evacuated) {
         return Exclusion{ExclusionReason::kEvacuated, std::nullopt};
     }
+    if (inputs.versionNotAllowed) {
+        return Exclusion{ExclusionReason::kVersion, std::nullopt};
+    }
     if (inputs.backoff) {
         return Exclusion{ExclusionReason::kBackoff, inputs.backoff};
     }
