Choose among a bounded part of a service's upstreams

Cause: each request walked all upstreams of the site, twice for a model's, with several look-ups each.

Change: the list of upstreams keeps a hash ring of each service. A request compares at most 256 upstreams of its service, from its prompt's place on the ring, the same ones on all boxes; also where its cache is fetched from, besides the known holders. Services of up to 256 upstreams are treated as before. Records of avoided and cold upstreams are looked up only if there are any.

Old and new: beside a box of an earlier build a prompt of a service of more than 256 upstreams has two first choices until all boxes are replaced.

--- a/include/health/ColdUpstreams.h
+++ b/include/health/ColdUpstreams.h
@@ -46,6 +46,10 @@
     // Preconditions: `now` never decreases between calls.
     Millis waitBeforeSend(const Incarnation& upstream, Millis spacing, MonoTime now) const;
 
+    // Returns whether any upstream is recorded: if none is, no other question need be asked.
+    // Preconditions: none.
+    bool hasRecords() const { return !m_records.empty(); }
+
 private:
     struct Record {
         int64_t startedMs = 0;  // Start of the cold incarnation, Unix time in ms.
--- a/include/health/UpstreamAvoidance.h
+++ b/include/health/UpstreamAvoidance.h
@@ -45,6 +45,10 @@
     // Returns whether the upstream announced its shutdown. Preconditions: none.
     bool isLeaving(const Incarnation& upstream) const;
 
+    // Returns whether any upstream is recorded: if none is, no other question need be asked.
+    // Preconditions: none.
+    bool hasRecords() const { return !m_records.empty(); }
+
 private:
     struct Record {
         int64_t startedMs = 0;  // Start of the incarnation that asked, Unix time in ms.
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -1,15 +1,18 @@
 // The table of upstreams as listed by the store. It also keeps the changes since earlier revisions
-// of the store, so that boxes can send each other changes instead of the whole list.
+// of the store, so that boxes can send each other changes instead of the whole list, and a hash
+// ring of each service, so that a request need not look at all upstreams of a large service.
 #pragma once
 
 #include "include/base/Ids.h"
 #include "include/base/Time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace onyx {
@@ -53,6 +56,13 @@
 // Thread safety: none; one task owns it.
 class UpstreamTable {
 public:
+    UpstreamTable() = default;
+    // The rings point to the entries, which keep their addresses when the table moves.
+    UpstreamTable(const UpstreamTable&) = delete;
+    UpstreamTable& operator=(const UpstreamTable&) = delete;
+    UpstreamTable(UpstreamTable&&) = default;
+    UpstreamTable& operator=(UpstreamTable&&) = default;
+
     // Adds or updates an upstream as stored at `revision`. `since`: when it was first seen; used
     // only if the upstream is new or has restarted. Preconditions: the upstream has an id.
     void put(Upstream upstream, MonoTime since, uint64_t revision);
@@ -91,6 +101,32 @@
     // Returns all entries by id. Preconditions: none.
     const std::map<std::string, Entry>& all() const { return m_entries; }
 
+    // Returns the number of upstreams of `service`. Preconditions: none.
+    size_t count(const ServiceId& service) const;
+
+    // Calls `visit` for the upstreams of `service` in the order of their hash ring, each once, from
+    // the first one at or after `position`. Ends when `visit` returns false. All boxes have the
+    // same order. Preconditions: `visit` does not change the table.
+    template <class Visit>
+    void visitRing(const ServiceId& service, uint64_t position, Visit visit) const {
+        const auto found = m_rings.find(service);
+        if (found == m_rings.end()) {
+            return;
+        }
+        const Ring& ring = found->second;
+        const auto start = std::lower_bound(ring.begin(), ring.end(), position, IsBefore);
+        const auto first = static_cast<size_t>(start - ring.begin());
+        for (size_t i = 0; i < ring.size(); ++i) {
+            if (!visit(*ring[(first + i) % ring.size()].entry)) {
+                return;
+            }
+        }
+    }
+
+    // Returns the entry of the upstream whose id has this ShortHash, or nullptr if there is none.
+    // Preconditions: as for find().
+    const Entry* findByNumber(uint32_t number) const;
+
 private:
     // Bound on recorded removals. changesSince() returns the whole list for older revisions.
     static constexpr size_t kMaxRemoved = 1000;
@@ -99,8 +135,22 @@
         std::string id;
         uint64_t at = 0;
     };
+    // An upstream on the ring of its service, at the hash of its id.
+    struct RingNode {
+        uint64_t position = 0;
+        const Entry* entry = nullptr;
+    };
+    using Ring = std::vector<RingNode>;  // By position, then by id.
+
+    static bool IsBefore(const RingNode& node, uint64_t position) {
+        return node.position < position;
+    }
+    void addToRing(const Entry& entry);
+    void removeFromRing(const Entry& entry);
 
     std::map<std::string, Entry> m_entries;
+    std::map<ServiceId, Ring> m_rings;
+    std::unordered_map<uint32_t, const Entry*> m_byNumber;  // By the ShortHash of the id.
     std::deque<Removed> m_removed;
     uint64_t m_revision = 0;
     uint64_t m_oldestKnownRevision = 0;  // Changes since older revisions are not recorded.
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -10,11 +10,25 @@
 
 namespace {
 
+// Upstreams that are compared for one request. In a larger service they are a part of its ring that
+// starts at the prompt, so that the cost of a choice does not grow with the service.
+constexpr size_t kMaxCandidates = 256;
+
+// Where a request's candidates start on the ring of its service: at the same place for all requests
+// with the same prompt, on all boxes.
+uint64_t RingPosition(uint64_t promptHash) {
+    constexpr uint64_t kSalt = 0;  // Spreads random numbers of fewer than 64 bits over the ring.
+    return HashPair(promptHash, kSalt);
+}
+
 // How long this box sends a cold upstream nothing; nothing if it is not cold, or may be sent to
 // like others.
 std::optional<Millis> ColdWaitFor(const Upstream& upstream, const PlacementKnowledge& knowledge,
                                   const PlacementQuestion& question, MonoTime now) {
     const UpstreamRecords& records = knowledge.records;
+    if (!records.cold().hasRecords()) {
+        return std::nullopt;
+    }
     const Incarnation incarnation = upstream.incarnation();
     const auto coldLeft = records.cold().coldLeft(incarnation, now);
     if (!coldLeft || question.spec == nullptr || question.spec->coldRequestsPerSecond <= 0) {
@@ -49,11 +63,13 @@
 ExclusionInputs StandingOf(const Upstream& upstream, const PlacementKnowledge& knowledge,
                            const PlacementQuestion& question, MonoTime now) {
     const UpstreamRecords& records = knowledge.records;
-    const Incarnation incarnation = upstream.incarnation();
     ExclusionInputs inputs;
     inputs.draining = upstream.draining;
-    inputs.leaving = records.avoidance().isLeaving(incarnation);
-    inputs.backoff = records.avoidance().remainingBackoff(incarnation, now);
+    if (records.avoidance().hasRecords()) {
+        const Incarnation incarnation = upstream.incarnation();
+        inputs.leaving = records.avoidance().isLeaving(incarnation);
+        inputs.backoff = records.avoidance().remainingBackoff(incarnation, now);
+    }
     inputs.regionNotAllowed = !IsInHomes(upstream, knowledge.settings, question);
     inputs.evacuated = knowledge.evacuations.orders().isEvacuated(
         upstream.zone, knowledge.upstreams.age(now), now);
@@ -71,25 +87,28 @@
 };
 
 Eligible EligibleFor(const PlacementKnowledge& knowledge, const PlacementQuestion& question,
-                     MonoTime now) {
+                     uint64_t promptHash, MonoTime now) {
     Eligible eligible;
-    for (const auto& [id, entry] : knowledge.upstreams.table().all()) {
-        if (entry.upstream.service != question.service) {
-            continue;
-        }
+    const auto visit = [&](const UpstreamTable::Entry& entry) {
         const auto exclusion = ExclusionOf(StandingOf(entry.upstream, knowledge, question, now));
-        if (exclusion) {
-            eligible.leftOut.add(*exclusion);
-            if (exclusion->isWholesale()) {
-                eligible.leftOutWholesale.push_back(&entry.upstream);
-            }
-        } else {
+        if (!exclusion) {
             eligible.upstreams.push_back(&entry.upstream);
+            return eligible.upstreams.size() < kMaxCandidates;
         }
-    }
+        eligible.leftOut.add(*exclusion);
+        if (exclusion->isWholesale()) {
+            eligible.leftOutWholesale.push_back(&entry.upstream);
+        }
+        return true;
+    };
+    knowledge.upstreams.table().visitRing(question.service, RingPosition(promptHash), visit);
     return eligible;
 }
 
+uint64_t PromptHashOf(const PlacementQuestion& question) {
+    return question.sharedParts.empty() ? question.draw : HashText(question.sharedParts.back());
+}
+
 // What is known of the loads of a service's upstreams, in their order.
 struct ServiceLoads {
     std::vector<UpstreamLoad> known;
@@ -195,6 +214,34 @@
     return policy;
 }
 
+// The upstreams that may hold parts of a prompt: those to which its requests go, and those that are
+// known to hold a part although they are elsewhere on the ring.
+std::vector<const UpstreamTable::Entry*> PossibleHolders(const UpstreamTable& table,
+                                                         const UpstreamRecords& records,
+                                                         const PlacementQuestion& question,
+                                                         MonoTime now) {
+    std::vector<const UpstreamTable::Entry*> entries;
+    const auto visit = [&](const UpstreamTable::Entry& entry) {
+        entries.push_back(&entry);
+        return entries.size() < kMaxCandidates;
+    };
+    table.visitRing(question.service, RingPosition(PromptHashOf(question)), visit);
+    if (table.count(question.service) <= kMaxCandidates) {
+        return entries;
+    }
+    for (const std::string& part : question.sharedParts) {
+        for (const uint32_t number : records.caches().holders(part, now)) {
+            const UpstreamTable::Entry* entry = table.findByNumber(number);
+            const bool isNew = entry != nullptr && entry->upstream.service == question.service &&
+                               std::find(entries.begin(), entries.end(), entry) == entries.end();
+            if (isNew) {
+                entries.push_back(entry);
+            }
+        }
+    }
+    return entries;
+}
+
 // The upstream from which `chosen` can fetch the prompt's shared parts, if there is one. Caches of
 // another version are of no use, because they may be those of other weights.
 std::optional<FetchSource> FetchSourceFor(const GatewaySettings& settings,
@@ -204,15 +251,14 @@
                                           MonoTime now) {
     std::vector<CacheCandidate> candidates;
     std::vector<const Upstream*> holders;
-    for (const auto& [id, entry] : upstreams.table().all()) {
-        if (entry.upstream.service != question.service ||
-            entry.upstream.version != chosen.version ||
-            !IsInHomes(entry.upstream, settings, question)) {
-            continue;
+    for (const UpstreamTable::Entry* entry :
+         PossibleHolders(upstreams.table(), records, question, now)) {
+        const Upstream& upstream = entry->upstream;
+        if (upstream.version == chosen.version && IsInHomes(upstream, settings, question)) {
+            const bool settled = now - entry->since >= CacheDirectory::kSettledAge;
+            candidates.push_back({upstream.id, !records.isEjected(upstream.id, now), settled});
+            holders.push_back(&upstream);
         }
-        const bool settled = now - entry.since >= CacheDirectory::kSettledAge;
-        candidates.push_back({id, !records.isEjected(id, now), settled});
-        holders.push_back(&entry.upstream);
     }
     const auto source =
         records.caches().selectSource(question.sharedParts, chosen.id, candidates, now);
@@ -227,15 +273,14 @@
 std::optional<AttemptPlace> PlaceAttempt(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now) {
     const auto& [settings, upstreams, records, evacuations] = knowledge;
-    const Eligible eligible = EligibleFor(knowledge, question, now);
+    const uint64_t promptHash = PromptHashOf(question);
+    const Eligible eligible = EligibleFor(knowledge, question, promptHash, now);
     const std::vector<const Upstream*>& acceptingUpstreams = eligible.upstreams;
     const ServiceLoads service = LoadsOf(acceptingUpstreams, records, now);
     const auto candidates =
         CandidatesOf(acceptingUpstreams, settings.zone, records, question, service, now);
     const PlacementPolicy policy = PolicyFor(settings, records, question, service.mean,
                                              ServiceMean(eligible, records, now), now);
-    const uint64_t promptHash =
-        question.sharedParts.empty() ? question.draw : HashText(question.sharedParts.back());
     const auto chosen = ChooseUpstream(policy, candidates, promptHash, question.draw);
     if (!chosen) {
         return std::nullopt;
@@ -253,7 +298,8 @@
                        std::nullopt,
                        eligible.leftOut,
                        candidate.holdsPrompt};
-    if (question.spec != nullptr && question.spec->fetchesCache) {
+    const bool mayFetch = question.spec != nullptr && question.spec->fetchesCache;
+    if (mayFetch && !candidate.holdsPrompt) {
         place.source = FetchSourceFor(settings, upstreams, records, question, place.upstream, now);
     }
     return place;
@@ -261,7 +307,7 @@
 
 std::optional<ExclusionTally> AllLeftOut(const PlacementKnowledge& knowledge,
                                          const PlacementQuestion& question, MonoTime now) {
-    const Eligible eligible = EligibleFor(knowledge, question, now);
+    const Eligible eligible = EligibleFor(knowledge, question, PromptHashOf(question), now);
     return eligible.upstreams.empty() ? std::optional<ExclusionTally>(eligible.leftOut)
                                       : std::nullopt;
 }
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace onyx {
 
@@ -21,18 +22,66 @@
         if (before != 0 && upstream.startedMs != before) {
             it->second.since = since;
         }
+        const bool movesService = it->second.upstream.service != upstream.service;
+        if (movesService) {
+            removeFromRing(it->second);
+        }
         it->second.upstream = std::move(upstream);
         it->second.changedAt = revision;
+        if (movesService) {
+            addToRing(it->second);
+        }
         return;
     }
     std::string id = upstream.id;
-    m_entries.emplace(std::move(id), Entry{std::move(upstream), since, revision});
+    const auto added =
+        m_entries.emplace(std::move(id), Entry{std::move(upstream), since, revision}).first;
+    addToRing(added->second);
+    m_byNumber[ShortHash(added->first)] = &added->second;
+}
+
+void UpstreamTable::addToRing(const Entry& entry) {
+    Ring& ring = m_rings[entry.upstream.service];
+    const RingNode node{HashText(entry.upstream.id), &entry};
+    const auto isBefore = [](const RingNode& a, const RingNode& b) {
+        return std::tie(a.position, a.entry->upstream.id) <
+               std::tie(b.position, b.entry->upstream.id);
+    };
+    ring.insert(std::upper_bound(ring.begin(), ring.end(), node, isBefore), node);
+}
+
+void UpstreamTable::removeFromRing(const Entry& entry) {
+    const auto found = m_rings.find(entry.upstream.service);
+    Ring& ring = found->second;
+    auto it = std::lower_bound(ring.begin(), ring.end(), HashText(entry.upstream.id), IsBefore);
+    it = std::find_if(it, ring.end(), [&](const RingNode& node) { return node.entry == &entry; });
+    ring.erase(it);
+    if (ring.empty()) {
+        m_rings.erase(found);
+    }
+}
+
+size_t UpstreamTable::count(const ServiceId& service) const {
+    const auto found = m_rings.find(service);
+    return found == m_rings.end() ? 0 : found->second.size();
+}
+
+const UpstreamTable::Entry* UpstreamTable::findByNumber(uint32_t number) const {
+    const auto it = m_byNumber.find(number);
+    return it == m_byNumber.end() ? nullptr : it->second;
 }
 
 void UpstreamTable::remove(const std::string& id, uint64_t revision) {
-    if (m_entries.erase(id) == 0) {
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end()) {
         return;
     }
+    removeFromRing(it->second);
+    const auto numbered = m_byNumber.find(ShortHash(id));
+    if (numbered != m_byNumber.end() && numbered->second == &it->second) {
+        m_byNumber.erase(numbered);
+    }
+    m_entries.erase(it);
     m_removed.push_back({id, revision});
     if (m_removed.size() > kMaxRemoved) {
         m_oldestKnownRevision = std::max(m_oldestKnownRevision, m_removed.front().at);
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -1,7 +1,11 @@
 #include "include/routing/UpstreamTable.h"
 
+#include "include/base/Hash.h"
+
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace onyx;
 
 namespace {
@@ -99,3 +103,43 @@
     CHECK(table.changesSince(19).whole);
     CHECK(table.changesSince(20).changed.empty());
 }
+
+TEST_CASE("The ring of a service has each of its upstreams once, from any position") {
+    UpstreamTable table;
+    for (int i = 0; i < 50; ++i) {
+        table.put(UpstreamOf("u" + std::to_string(i)), {1}, 1);
+    }
+    table.put({"other", ServiceId("t"), "127.0.0.1:1", ZoneId("z"), false, 4}, {1}, 1);
+    table.remove("u7", 2);
+    std::set<std::string> seen;
+    table.visitRing(ServiceId("s"), 0x8000000000000000U, [&](const UpstreamTable::Entry& entry) {
+        CHECK(seen.insert(entry.upstream.id).second);
+        return true;
+    });
+    CHECK(seen.size() == 49);
+    CHECK(table.count(ServiceId("s")) == 49);
+    CHECK(table.count(ServiceId("none")) == 0);
+}
+
+TEST_CASE("A visit of the ring ends when it has seen enough, at any size of the service") {
+    const int upstreams = GENERATE(100, 10000, 20000);
+    UpstreamTable table;
+    for (int i = 0; i < upstreams; ++i) {
+        table.put(UpstreamOf("u" + std::to_string(i)), {1}, 1);
+    }
+    size_t visited = 0;
+    table.visitRing(ServiceId("s"), 12345,
+                    [&](const UpstreamTable::Entry&) { return ++visited < 64; });
+    CHECK(visited == 64);
+}
+
+TEST_CASE("An upstream that moves to another service leaves the ring of the first") {
+    UpstreamTable table;
+    table.put(UpstreamOf("a"), {1}, 1);
+    table.put({"a", ServiceId("t"), "127.0.0.1:1", ZoneId("z"), false, 4}, {1}, 2);
+    CHECK(table.count(ServiceId("s")) == 0);
+    CHECK(table.count(ServiceId("t")) == 1);
+    CHECK(table.findByNumber(ShortHash("a"))->upstream.service == ServiceId("t"));
+    table.remove("a", 3);
+    CHECK(table.findByNumber(ShortHash("a")) == nullptr);
+}
