Let the boxes of a large site use the slack of the retry budget

Cause: each box has an equal part of the slack and rounds it down.

Change: a box rounds its part by a lot that it draws once for each window. The sum of the boxes stays within the operators' budget because 0.75 of the slack is planned with; where the rest does not cover five standard deviations of the sum, parts are rounded down as before.

--- a/include/admission/LocalRetryBudget.h
+++ b/include/admission/LocalRetryBudget.h
@@ -3,13 +3,16 @@
 // Inputs: the first attempts and the retries of this box at one service within the window; how many
 // boxes share the slack. The operators' budget covers all boxes together: in any window,
 // retries <= share x first attempts + slack. No box knows the counts of the others, so each keeps
-// the budget with its own first attempts and an equal part of the slack.
+// the budget with its own first attempts and an equal part of the slack. On a large site this part
+// is less than one retry, so each box rounds it by lot: up as often as it takes for the boxes
+// together to have the whole slack.
 #pragma once
 
 #include "include/base/Ids.h"
 #include "include/base/Time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 
@@ -41,9 +44,10 @@
 // window, since its incarnation before may have spent it. Thread safety: none; one task owns it.
 class LocalRetryBudget {
 public:
-    // Preconditions: window > 0, share >= 0, slack >= 0. `start`: when the process started.
-    LocalRetryBudget(const LocalRetryBudgetSettings& settings, MonoTime start)
-        : m_settings(settings), m_start(start) {}
+    // Preconditions: window > 0, share >= 0, slack >= 0. `start`: when the process started. `seed`:
+    // of the lots.
+    LocalRetryBudget(const LocalRetryBudgetSettings& settings, MonoTime start, uint64_t seed)
+        : m_settings(settings), m_start(start), m_seed(seed) {}
 
     // Counts a request's first attempt. Preconditions: `now` never decreases between calls.
     void recordFirstAttempt(MonoTime now) { m_firstAttempts.push_back(now); }
@@ -58,9 +62,12 @@
 
 private:
     void dropExpired(MonoTime now);
+    bool roundsByLot(size_t boxes) const;
+    double lotAt(MonoTime now) const;
 
     LocalRetryBudgetSettings m_settings;
     MonoTime m_start;
+    uint64_t m_seed;
     std::deque<MonoTime> m_firstAttempts;
     std::deque<MonoTime> m_retries;
 };
@@ -68,9 +75,9 @@
 // The retry budgets of all services. Thread safety: none; one task owns it.
 class LocalRetryBudgets {
 public:
-    // Preconditions and `start`: as for LocalRetryBudget.
-    LocalRetryBudgets(const LocalRetryBudgetSettings& settings, MonoTime start)
-        : m_settings(settings), m_start(start) {}
+    // Preconditions, `start` and `seed`: as for LocalRetryBudget.
+    LocalRetryBudgets(const LocalRetryBudgetSettings& settings, MonoTime start, uint64_t seed)
+        : m_settings(settings), m_start(start), m_seed(seed) {}
 
     // Counts a request's first attempt at `service`.
     // Preconditions: `now` never decreases between calls.
@@ -88,6 +95,7 @@
 
     LocalRetryBudgetSettings m_settings;
     MonoTime m_start;
+    uint64_t m_seed;
     std::map<ServiceId, LocalRetryBudget> m_budgets;
 };
 
--- a/src/admission/LocalRetryBudget.cpp
+++ b/src/admission/LocalRetryBudget.cpp
@@ -1,6 +1,9 @@
 #include "include/admission/LocalRetryBudget.h"
 
+#include "include/base/Hash.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace onyx {
 
@@ -9,7 +12,8 @@
     const double earned = m_settings.share * static_cast<double>(m_firstAttempts.size());
     const bool hasSlack = now - m_start >= m_settings.window;
     const double slack = m_settings.slack / static_cast<double>(boxes);
-    const double allowed = earned + (hasSlack ? slack : 0);
+    const double lot = roundsByLot(boxes) ? lotAt(now) : 0;
+    const double allowed = earned + (hasSlack ? slack + lot : 0);
     if (static_cast<double>(m_retries.size() + 1) > allowed) {
         return false;
     }
@@ -17,6 +21,22 @@
     return true;
 }
 
+// The sum of the boxes' lots varies with the square root of their number. The part of the slack
+// that is not planned with has to cover five standard deviations.
+bool LocalRetryBudget::roundsByLot(size_t boxes) const {
+    constexpr double kDeviations = 5;
+    constexpr double kMaxDeviationPerBox = 0.5;
+    const double reserve = m_settings.slack * (1 / LocalRetryBudgetSettings::kPlannedFraction - 1);
+    return reserve >= kDeviations * kMaxDeviationPerBox * std::sqrt(static_cast<double>(boxes));
+}
+
+// A number from 0 to 1, the same throughout a window.
+double LocalRetryBudget::lotAt(MonoTime now) const {
+    constexpr uint64_t kSteps = 1 << 20;
+    const auto window = static_cast<uint64_t>((now - m_start) / m_settings.window);
+    return static_cast<double>(HashPair(m_seed, window) % kSteps) / kSteps;
+}
+
 size_t LocalRetryBudget::retries(MonoTime now) {
     dropExpired(now);
     return m_retries.size();
@@ -37,7 +57,7 @@
 }
 
 LocalRetryBudget& LocalRetryBudgets::budgetOf(const ServiceId& service) {
-    return m_budgets.try_emplace(service, m_settings, m_start).first->second;
+    return m_budgets.try_emplace(service, m_settings, m_start, m_seed).first->second;
 }
 
 }  // namespace onyx
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "include/observe/Events.h"
 
+#include <random>
+
 namespace onyx {
 
 namespace {
@@ -19,7 +21,7 @@
       m_upstreams(m_records),
       m_evacuations(m_metrics),
       m_rolloutList(m_metrics),
-      m_retries(settings.retry, ReadClocks().mono),
+      m_retries(settings.retry, ReadClocks().mono, std::random_device{}()),
       m_log(m_metrics),
       m_store(
           io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_evacuations,
