Read how long work takes at an upstream, and use it while it is fresh

Seen: the fourth figure of a reported load, how long work takes at the upstream's machine right now, was read over.

A prompt keeps its first choice: moving it would read it again, which takes longer than the busy phase of a machine.

--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -52,6 +52,8 @@
     bool authentic = false;    // It carries the upstream's mark.
     bool leaving = false;      // It is about to end.
     std::optional<int> load;   // Requests running and waiting there.
+    // How long work takes there right now, in percent of the usual time.
+    std::optional<int> workTimePercent;
     // It wants no requests from this box for so long.
     std::optional<Millis> backoff;
     std::optional<Millis> coldLeft;  // How much longer it is cold, in milliseconds; 0: it is not.
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -15,6 +15,7 @@
 #include "include/placement/PeerCounts.h"
 #include "include/placement/PromptShares.h"
 #include "include/placement/UpstreamLoads.h"
+#include "include/placement/WorkTimes.h"
 #include "include/routing/UpstreamTable.h"
 
 #include <functional>
@@ -104,6 +105,10 @@
     UpstreamAvoidance& avoidance() { return m_avoidance; }
     const UpstreamAvoidance& avoidance() const { return m_avoidance; }
 
+    // How long work takes at upstreams right now. Preconditions: none.
+    WorkTimes& workTimes() { return m_workTimes; }
+    const WorkTimes& workTimes() const { return m_workTimes; }
+
     // Which upstreams are cold, and whether this box sends requests to them. Preconditions: none.
     ColdUpstreams& cold() { return m_cold; }
     const ColdUpstreams& cold() const { return m_cold; }
@@ -189,6 +194,7 @@
     ColdUpstreams m_cold;
     ColdShare m_coldShare;
     UpstreamLoads m_loads;
+    WorkTimes m_workTimes;
     PeerCounts m_peerCounts;
     CacheDirectory m_caches;
     PromptShares m_prompts;
--- a/include/placement/ChooseUpstream.h
+++ b/include/placement/ChooseUpstream.h
@@ -4,6 +4,9 @@
 // of the requests in flight from all boxes), its slots, whether it is ejected and whether this
 // request has already tried it; a hash of the prompt; a random number drawn for the request.
 //
+// Of upstreams that are equally suitable, the one with the least work before a new request is
+// chosen: its load times the time that work takes there now.
+//
 // Under every policy, upstreams that this request has not tried come first, and among these the
 // ones that are not ejected. A condition that no upstream meets is dropped, so a request is refused
 // only if the service has no upstream at all.
@@ -28,6 +31,7 @@
     int ownLoad = 0;            // Requests in flight from this box.
     int load = 0;               // Estimated requests in flight from all boxes.
     int slots = 1;              // Requests that it processes concurrently.
+    int workTimePercent = 100;  // Time that work takes there now, in percent of the usual time.
 };
 
 // Policy for models. Prompts with the same last shared part prefer the same upstream, across all
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -146,6 +146,9 @@
     if (!facts.unreadable.empty()) {
         m_context.log.headUnreadable(m_request.facts.id, upstream, facts.unreadable);
     }
+    if (facts.workTimePercent) {
+        m_context.records.workTimes().note(upstream, *facts.workTimePercent, now);
+    }
     if (facts.load) {
         m_context.records.noteReportedLoad(upstream, *facts.load, now);
     }
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -191,6 +191,7 @@
         candidate.load = loads.loads[i];
         candidate.loadReported = loads.known[i].report.has_value();
         candidate.slots = upstream->slots;
+        candidate.workTimePercent = records.workTimes().percent(upstream->id, now);
         candidates.push_back(candidate);
     }
     return candidates;
--- a/src/placement/ChooseUpstream.cpp
+++ b/src/placement/ChooseUpstream.cpp
@@ -74,7 +74,7 @@
     PlacementChoice operator()(const ZoneFirstPolicy&) const {
         const size_t chosen = MinBy(m_usable, [&](size_t i) {
             const PlacementCandidate& c = m_candidates[i];
-            return std::make_tuple(c.load >= c.slots, !c.sameZone, c.load, randomOrder(i));
+            return std::make_tuple(c.load >= c.slots, !c.sameZone, workAhead(i), randomOrder(i));
         });
         const PlacementReason reason = m_candidates[chosen].sameZone ? PlacementReason::kSameZone
                                                                      : PlacementReason::kOtherZone;
@@ -123,8 +123,7 @@
     size_t firstWithRoom(const Indices& order, const Bounds& bounds) const {
         const auto room =
             std::find_if(order.begin(), order.end(), [&](size_t i) { return hasRoom(i, bounds); });
-        return room != order.end() ? *room
-                                   : MinBy(order, [&](size_t i) { return m_candidates[i].load; });
+        return room != order.end() ? *room : MinBy(order, [&](size_t i) { return workAhead(i); });
     }
 
     // Returns the number of upstreams over which a prompt with this share has to be spread so that
@@ -182,7 +181,7 @@
                           from.end(),
                           [&](size_t a, size_t b) { return randomOrder(a) < randomOrder(b); });
         from.resize(sampleSize);
-        return MinBy(from, [&](size_t i) { return m_candidates[i].load; });
+        return MinBy(from, [&](size_t i) { return workAhead(i); });
     }
 
     static Indices::const_iterator at(const Indices& order, size_t width) {
@@ -226,6 +225,11 @@
 
     uint64_t affinity(size_t i) const { return RendezvousScore(m_promptHash, m_candidates[i].id); }
     uint64_t randomOrder(size_t i) const { return RendezvousScore(m_draw, m_candidates[i].id); }
+    // The work of a new request at an upstream and of those before it, in hundredths of a request.
+    int64_t workAhead(size_t i) const {
+        const PlacementCandidate& c = m_candidates[i];
+        return (int64_t{c.load} + 1) * c.workTimePercent;
+    }
     int slots(size_t i) const { return std::max(1, m_candidates[i].slots); }
 
     std::span<const PlacementCandidate> m_candidates;
--- a/tests/ChooseUpstreamTest.cpp
+++ b/tests/ChooseUpstreamTest.cpp
@@ -1,5 +1,7 @@
 #include "include/placement/ChooseUpstream.h"
 
+#include "include/placement/WorkTimes.h"
+
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -212,3 +214,40 @@
     }
     CHECK(chosen().size() >= 3);
 }
+
+// Guards against requests that wait at an upstream whose machine is busy with other work, while an
+// equally loaded one is not.
+TEST_CASE("Of upstreams with the same load, the one where work takes the usual time is chosen") {
+    auto candidates = Candidates();
+    for (auto& candidate : candidates) {
+        candidate.load = 2;
+        candidate.workTimePercent = 250;
+    }
+    candidates[3].workTimePercent = 100;
+    for (uint64_t draw = 0; draw < 20; ++draw) {
+        CHECK(Chosen(ZoneFirstPolicy{}, candidates, draw, draw) == 3);
+    }
+    candidates[3].load = 9;
+    for (uint64_t draw = 0; draw < 20; ++draw) {
+        CHECK(Chosen(ZoneFirstPolicy{}, candidates, draw, draw) != 3);
+    }
+}
+
+TEST_CASE("A prompt keeps its first choice, however long work takes there at the moment") {
+    auto candidates = Candidates();
+    const int first = Chosen(AffinityPolicy{}, candidates, 7, 1);
+    candidates[first].workTimePercent = 300;
+    CHECK(Chosen(AffinityPolicy{}, candidates, 7, 1) == first);
+}
+
+TEST_CASE("A report of how long work takes counts for a short time only") {
+    WorkTimes times;
+    times.note("a", 250, {1000});
+    CHECK(times.percent("a", {1000 + WorkTimes::kMaxAge}) == 250);
+    CHECK(times.percent("a", {1001 + WorkTimes::kMaxAge}) == WorkTimes::kUsualPercent);
+    CHECK(times.percent("b", {1000}) == WorkTimes::kUsualPercent);
+    for (int i = 0; i < 1000; ++i) {
+        times.note("u" + std::to_string(i), 200, {2000 + i * 10});
+    }
+    CHECK(times.size() < 100);
+}
