Let boxes that start together take the list of upstreams from each other

Cause: each box that starts reads the whole list from a copy of the store, and once more when a peer tells that it has a list: bytes grow with boxes times upstreams. At 985 boxes and 20 pages that is 2.6 GB through the store's line, some 20 s of it. Newer upstreams were also fetched from any linked box, four of five of them in other zones.

Change: after the first page of a list that has more, seven of eight boxes wait for a peer of their zone; a box sends its whole list to two others a second; a box that is reading is not made to read again. A list of one page is read as before. Changes are fetched from the own zone, and from another one only if no box of the own zone has had them for 0.7 s.

Unit tests: 356 cases passed.

--- a/include/freshness/PeerQueries.h
+++ b/include/freshness/PeerQueries.h
@@ -28,8 +28,10 @@
     // Peers that are queried in one round: enough to reach one that the store responds to when a
     // third of the boxes is cut off.
     static constexpr size_t kPeersPerRound = 8;
-    // A fetch that has not been answered for this long is abandoned.
+    // A fetch that has not been answered for this long is abandoned; one of a whole list of
+    // upstreams may take longer, because it is some megabytes on a large site.
     static constexpr Millis kFetchTimeoutMs = 1000;
+    static constexpr Millis kListFetchTimeoutMs = 3000;
 
     // Notes that a query is sent now and returns its number.
     // Preconditions: `now` does not decrease from call to call.
@@ -44,8 +46,8 @@
     std::vector<std::string> nextPeers(const std::vector<std::string>& peers);
 
     // Starts a fetch of newer data from a peer and returns the number of its query, or nothing
-    // while another fetch is in progress. Preconditions: as for ask().
-    std::optional<uint64_t> startFetch(MonoTime now);
+    // while another fetch is in progress. `timeout`: in milliseconds. Preconditions: as for ask().
+    std::optional<uint64_t> startFetch(MonoTime now, Millis timeout = kFetchTimeoutMs);
 
     // Notes that query `round` was answered. Returns true if it was the fetch in progress; another
     // one may then start.
@@ -57,6 +59,7 @@
     std::map<uint64_t, MonoTime> m_sentAt;
     size_t m_nextPeer = 0;
     std::optional<uint64_t> m_fetchRound;  // Query of the fetch in progress.
+    Millis m_fetchTimeout = kFetchTimeoutMs;
 };
 
 }  // namespace onyx
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -63,6 +63,10 @@
     // The addresses of the boxes to which links are established. Preconditions: none.
     std::vector<std::string> linkedAddresses() const;
 
+    // Whether a link to the box at `address` is established and that box is in this box's zone.
+    // Preconditions: none.
+    bool isLinkedInZone(const std::string& address) const;
+
     // Whether a link to `address` is established. Preconditions: none.
     bool isLinked(const std::string& address) const { return m_links.contains(address); }
 
--- a/include/gateway/PeerSync.h
+++ b/include/gateway/PeerSync.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "include/dialect/Dialect.h"
+#include "include/freshness/FirstListPolicy.h"
 #include "include/freshness/PeerQueries.h"
 #include "include/freshness/RefreshPlanner.h"
 #include "include/gateway/PeerMesh.h"
@@ -69,6 +70,10 @@
     // Whether this box normally relies on other boxes. Preconditions: none.
     bool reliesOnPeers() const { return m_refreshPlanner.reliesOnPeers(); }
 
+    // Whether this box, which has read the first page of the list of upstreams, waits for another
+    // box's list instead of reading on. Preconditions: none.
+    bool leavesListToPeers();
+
     // Whether this box may call the store now for objects of this kind. Preconditions: none.
     bool mayCallStore(ObjectKind kind);
 
@@ -88,12 +93,21 @@
         uint64_t upstreams = 0;
     };
 
+    // Other boxes have newer upstreams than those of a revision that this box has.
+    struct NewerUpstreams {
+        uint64_t than = 0;
+        MonoTime since;
+    };
+
     void step(MonoTime now);
     void updateStoreCall(StoreCallDecision storeCall, MonoTime now);
+    bool waitsForList(MonoTime now) const;
+    void endWaitForList(MonoTime now);
     void queryWatcher(MonoTime now);
     void queryPeers(MonoTime now);
-    void catchUp(const std::string& from, const wire::KnowledgeReplyT& reply,
-                 bool requestedChanges);
+    void catchUpUpstreams(const std::string& from, uint64_t revision, bool requestedChanges);
+    void catchUpConfiguration(const std::string& from, uint64_t version);
+    bool mayFetchUpstreams(const std::string& from, MonoTime now);
     void fetch(const std::string& from, bool changesOnly);
     void apply(const PeerUpdate& update);
     void addEvacuations(wire::KnowledgeReplyT& reply, MonoTime now) const;
@@ -119,6 +133,10 @@
     StoreCallDecision m_storeCall;  // The decision of the last step.
     std::string m_watcher;          // Address of the box that replaces the store; empty if none.
     CopyRead m_copyRead;
+    std::optional<NewerUpstreams> m_newerUpstreams;
+    FirstListPolicy m_firstList;
+    bool m_waitedForList = false;  // As of the last step.
+    ListSendLimit m_listSendLimit;
     // By kind of orders, consecutive replies of the watcher that did not tell them.
     std::map<ObjectKind, int> m_repliesWithoutOrders;
 };
--- a/include/gateway/StoreController.h
+++ b/include/gateway/StoreController.h
@@ -25,12 +25,16 @@
     // Whether the store may be called now for objects of this kind.
     using MayCall = std::function<bool(ObjectKind)>;
 
+    // Whether the rest of the list of upstreams is left to other boxes; see FirstListPolicy.
+    using LeavesListToPeers = std::function<bool()>;
+
     // `facts`: returns the inputs of the store pacing; called each time that they are needed.
     // Preconditions: all arguments but `facts` outlive the controller.
     StoreController(asio::any_io_executor executor, const GatewaySettings& settings,
                     const Dialect& dialect, ConfigurationState& configuration,
                     UpstreamList& upstreams, EvacuationList& evacuations, RolloutList& rollouts,
-                    Metrics& metrics, std::function<StorePacingInputs()> facts, MayCall mayCall);
+                    Metrics& metrics, std::function<StorePacingInputs()> facts, MayCall mayCall,
+                    LeavesListToPeers leavesListToPeers);
 
     // Begins to follow the store. Preconditions: called once.
     void start();
@@ -70,6 +74,7 @@
     Metrics& m_metrics;
     std::function<StorePacingInputs()> m_pacingFacts;
     MayCall m_mayCall;
+    LeavesListToPeers m_leavesListToPeers;
     std::map<ObjectKind, std::unique_ptr<StoreWatch>> m_watches;
 };
 
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -74,6 +74,9 @@
         std::function<void(const std::string&)> onReachable;
         std::function<void(const StoreCall&)> onCall;  // A call has ended.
         std::function<bool()> mayCall;  // Whether the store may be called now; see StoreCallPolicy.
+        // Whether the rest of a copy, whose first page was read, is left to other boxes: nothing is
+        // reported then, and the next call is made once it is allowed. Asked after the first page.
+        std::function<bool()> leavesRestToPeers;
         // The store's revision up to which this box knows the objects, whoever told it; 0: unknown.
         std::function<uint64_t()> knownRevision;
         std::function<Millis()> wait;               // How long the next watch is held.
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -112,7 +112,7 @@
         return otherwise;
     }
     const std::string range =
-        "a number from " + std::to_string(least) + " to " + std::to_string(most);
+        "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
     const auto value = WholeNumber(*node.node());
     if (!value) {
         expect(key, range, TypeName(*node.node()));
--- a/src/freshness/PeerQueries.cpp
+++ b/src/freshness/PeerQueries.cpp
@@ -30,12 +30,13 @@
     return asked;
 }
 
-std::optional<uint64_t> PeerQueries::startFetch(MonoTime now) {
+std::optional<uint64_t> PeerQueries::startFetch(MonoTime now, Millis timeout) {
     const auto underWay = m_fetchRound ? m_sentAt.find(*m_fetchRound) : m_sentAt.end();
-    if (underWay != m_sentAt.end() && now - underWay->second < kFetchTimeoutMs) {
+    if (underWay != m_sentAt.end() && now - underWay->second < m_fetchTimeout) {
         return std::nullopt;
     }
     m_fetchRound = ask(now);
+    m_fetchTimeout = timeout;
     return m_fetchRound;
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -26,7 +26,8 @@
       m_store(
           io.get_executor(), settings, dialect, m_configuration, m_upstreams, m_evacuations,
           m_rolloutList, m_metrics, [this] { return pacingFacts(); },
-          [this](ObjectKind kind) { return m_sync.mayCallStore(kind); }),
+          [this](ObjectKind kind) { return m_sync.mayCallStore(kind); },
+          [this] { return m_sync.leavesListToPeers(); }),
       m_mesh(io, settings, m_records, m_metrics,
              {[this](const std::string& from, const wire::KnowledgeAskT& ask) {
                   m_sync.onKnowledgeQuery(from, ask);
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -105,6 +105,11 @@
     return addresses;
 }
 
+bool PeerMesh::isLinkedInZone(const std::string& address) const {
+    const auto it = m_links.find(address);
+    return it != m_links.end() && it->second.link->peer().zone == m_settings.zone;
+}
+
 bool PeerMesh::takesCrashReports(const std::string& address) const {
     const auto it = m_links.find(address);
     return it != m_links.end() && it->second.link->peer().takes_crash_reports;
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -13,6 +13,9 @@
 // In milliseconds. Period at which this box decides which boxes to query and whether to
 // call the store. Short compared with the shortest of the times that these decisions depend on.
 constexpr Millis kStepPeriod = 100;
+// In milliseconds. For this long newer upstreams are fetched from boxes of the own zone only: two
+// periods of a follower.
+constexpr Millis kOwnZoneFirst = 700;
 // A watcher that has sent this many consecutive replies without orders of a kind runs an earlier
 // build. Fewer are not enough: a watcher that has just started has no list of orders yet.
 constexpr int kMaxRepliesWithoutOrders = 4;
@@ -37,7 +40,8 @@
       m_rollouts(synced.rollouts),
       m_store(store),
       m_mesh(mesh),
-      m_refreshPlanner(PlannerSettings(settings), ReadClocks().mono, std::random_device{}()) {}
+      m_refreshPlanner(PlannerSettings(settings), ReadClocks().mono, std::random_device{}()),
+      m_firstList(std::random_device{}()) {}
 
 Task<> PeerSync::run() {
     while (true) {
@@ -46,7 +50,30 @@
     }
 }
 
+bool PeerSync::leavesListToPeers() {
+    m_waitedForList = m_firstList.leavesRestToPeers(isSeed(), ReadClocks().mono);
+    return m_waitedForList;
+}
+
+bool PeerSync::waitsForList(MonoTime now) const {
+    return m_firstList.isWaiting(m_mesh.links(), m_upstreams.hasList(), now);
+}
+
+// With a list, its changes are watched or followed as usual; without one it is read after all.
+void PeerSync::endWaitForList(MonoTime now) {
+    if (!m_waitedForList || waitsForList(now)) {
+        return;
+    }
+    m_waitedForList = false;
+    if (m_upstreams.hasList()) {
+        m_store.wake();
+    } else {
+        m_store.readCopySoon(ObjectKind::kUpstreams);
+    }
+}
+
 void PeerSync::step(MonoTime now) {
+    endWaitForList(now);
     const std::vector<std::string> zone = m_mesh.zoneOrder();
     const std::vector<std::string> linked = m_mesh.linkedAddresses();
     RefreshInputs inputs{zone, m_mesh.address(), linked};
@@ -98,6 +125,9 @@
 
 bool PeerSync::mayCallStore(ObjectKind kind) {
     const MonoTime now = ReadClocks().mono;
+    if (kind == ObjectKind::kUpstreams && waitsForList(now)) {
+        return false;
+    }
     const auto missing = m_repliesWithoutOrders.find(kind);
     return (missing != m_repliesWithoutOrders.end() &&
             missing->second >= kMaxRepliesWithoutOrders) ||
@@ -162,7 +192,10 @@
     if (!ask.no_content && reply.revision > ask.have) {
         reply.content = m_configuration.text();
     }
-    if (ask.want_upstreams && reply.upstreams_revision > ask.upstreams_revision) {
+    const bool sendsUpstreams = ask.want_upstreams &&
+                                reply.upstreams_revision > ask.upstreams_revision &&
+                                (ask.upstreams_revision > 0 || m_listSendLimit.tryTake(now));
+    if (sendsUpstreams) {
         AddUpstreamChanges(m_upstreams.table(), ask, reply);
         for (const auto& entry : reply.upstreams) {
             entry->cold_ms = static_cast<uint32_t>(m_upstreams.coldLeft(entry->id, now));
@@ -242,8 +275,9 @@
         peerAge = std::max(reply.age_ms, reply.upstreams_age_ms);
     }
     m_refreshPlanner.noteReply(from, peerAge, ages(now).older(), now);
-    if (!m_storeCall.calls || isOverdue(now)) {
-        catchUp(from, reply, requestedChanges);
+    if (!m_storeCall.calls || isOverdue(now) || waitsForList(now)) {
+        catchUpUpstreams(from, reply.upstreams_revision, requestedChanges);
+        catchUpConfiguration(from, reply.revision);
     }
 }
 
@@ -272,26 +306,50 @@
     }
 }
 
-// Gets newer data that the other box has but did not include in its reply. Upstream changes are
-// fetched from that box. A whole upstream list or a configuration is read from a copy of the store,
-// which is near and saves the other box's bandwidth. If the copy does not have the data yet, it is
-// fetched from the box.
-void PeerSync::catchUp(const std::string& from, const wire::KnowledgeReplyT& reply,
-                       bool requestedChanges) {
-    const bool upstreams = reply.upstreams_revision > m_upstreams.table().revision();
-    if (upstreams && !requestedChanges && m_upstreams.hasList()) {
-        fetch(from, true);
-    } else if (upstreams && reply.upstreams_revision > m_copyRead.upstreams) {
-        m_copyRead.upstreams = reply.upstreams_revision;
+// Whether newer upstreams of the box at `from` may be fetched from it. Boxes of the own zone come
+// first, because bytes between zones are dear: another zone's box is asked only if no box of the
+// own zone has had them for a while.
+bool PeerSync::mayFetchUpstreams(const std::string& from, MonoTime now) {
+    const uint64_t revision = m_upstreams.table().revision();
+    if (!m_newerUpstreams || m_newerUpstreams->than != revision) {
+        m_newerUpstreams = NewerUpstreams{revision, now};
+    }
+    return m_mesh.isLinkedInZone(from) || now - m_newerUpstreams->since >= kOwnZoneFirst;
+}
+
+// Gets newer upstreams that the other box has but did not include in its reply. Changes are fetched
+// from that box. A whole list is read from a copy of the store, which is near and saves the other
+// box's bandwidth, and fetched from the box if the copy does not have it yet. A box that has just
+// started does as FirstListPolicy says.
+void PeerSync::catchUpUpstreams(const std::string& from, uint64_t revision, bool requestedChanges) {
+    const MonoTime now = ReadClocks().mono;
+    const bool isBehind = revision > m_upstreams.table().revision();
+    if (!isBehind || m_firstList.isReadingOn(m_upstreams.hasList(), now)) {
+        return;
+    }
+    if (waitsForList(now)) {
+        if (m_mesh.isLinkedInZone(from)) {
+            fetch(from, false);
+        }
+    } else if (!requestedChanges && m_upstreams.hasList()) {
+        if (mayFetchUpstreams(from, now)) {
+            fetch(from, true);
+        }
+    } else if (revision > m_copyRead.upstreams) {
+        m_copyRead.upstreams = revision;
         m_store.readCopySoon(ObjectKind::kUpstreams);
-    } else if (upstreams) {
+    } else {
         fetch(from, false);
     }
-    if (reply.revision <= m_configuration.version()) {
+}
+
+// The same for the configuration.
+void PeerSync::catchUpConfiguration(const std::string& from, uint64_t version) {
+    if (version <= m_configuration.version()) {
         return;
     }
-    if (reply.revision > m_copyRead.configuration) {
-        m_copyRead.configuration = reply.revision;
+    if (version > m_copyRead.configuration) {
+        m_copyRead.configuration = version;
         m_store.readCopySoon(ObjectKind::kConfiguration);
     } else {
         fetch(from, false);
@@ -301,7 +359,9 @@
 // `changesOnly`: the reply is to contain upstream changes only, neither the text of the
 // configuration nor a whole upstream list.
 void PeerSync::fetch(const std::string& from, bool changesOnly) {
-    const auto round = m_peerQueries.startFetch(ReadClocks().mono);
+    const Millis timeout =
+        changesOnly ? PeerQueries::kFetchTimeoutMs : PeerQueries::kListFetchTimeoutMs;
+    const auto round = m_peerQueries.startFetch(ReadClocks().mono, timeout);
     if (!round) {
         return;
     }
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -36,7 +36,8 @@
                                  const Dialect& dialect, ConfigurationState& configuration,
                                  UpstreamList& upstreams, EvacuationList& evacuations,
                                  RolloutList& rollouts, Metrics& metrics,
-                                 std::function<StorePacingInputs()> facts, MayCall mayCall)
+                                 std::function<StorePacingInputs()> facts, MayCall mayCall,
+                                 LeavesListToPeers leavesListToPeers)
     : m_executor(std::move(executor)),
       m_settings(settings),
       m_dialect(dialect),
@@ -46,7 +47,8 @@
       m_rolloutList(rollouts),
       m_metrics(metrics),
       m_pacingFacts(std::move(facts)),
-      m_mayCall(std::move(mayCall)) {}
+      m_mayCall(std::move(mayCall)),
+      m_leavesListToPeers(std::move(leavesListToPeers)) {}
 
 void StoreController::start() {
     std::vector<ObjectKind> kinds = {ObjectKind::kConfiguration, ObjectKind::kUpstreams};
@@ -73,6 +75,9 @@
     sink.onReachable = [kind](const std::string& why) { onReachable(kind, why); };
     sink.onCall = [this, kind](const StoreCall& call) { onCall(kind, call); };
     sink.mayCall = [this, kind] { return m_mayCall(kind); };
+    sink.leavesRestToPeers = [this, kind] {
+        return kind == ObjectKind::kUpstreams && m_leavesListToPeers();
+    };
     sink.knownRevision = [this, kind] { return knownRevision(kind); };
     sink.wait = [this, kind] { return watchWait(kind); };
     sink.pauseAfterChanges = [this, kind] { return pauseAfterChanges(kind); };
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -183,11 +183,15 @@
         // first page's revision.
         update.revision = update.revision == 0 ? page.value().revision : update.revision;
         more = page.value().more && !page.value().objects.empty();
+        m_cause = StoreCallCause::kPage;
+        const bool isFirst = update.objects.empty();
         for (StoredObject& object : page.value().objects) {
             after = object.name;
             update.objects.push_back(std::move(object));
         }
-        m_cause = StoreCallCause::kPage;
+        if (isFirst && more && source == ListSource::kCopy && m_sink.leavesRestToPeers()) {
+            co_return true;
+        }
     }
     m_listed = true;
     m_cause = source == ListSource::kCopy ? StoreCallCause::kConfirm : StoreCallCause::kChanged;
