Bind requests to a rolled-out version only until the old upstreams have ended

Cause: after a completed rollout all requests of its service went to the target version for good, so the upstreams of a later release with another version would have got nothing while both are listed. Also, the upstreams on which a version is tried were kept when an order for another version came.

Change: ten seconds after a box has seen the completion, the order binds nothing any more.

Test: RolloutReplayTest "A completed rollout binds requests only until" (no such rule before).

--- a/include/rollout/ServiceRollout.h
+++ b/include/rollout/ServiceRollout.h
@@ -75,6 +75,9 @@
     RolloutStage stage() const { return m_stage; }
     VersionVerdict verdict() const { return m_verdict; }
     Millis elapsed(MonoTime now) const { return now - m_orderedAt; }
+    // Returns whether the rollout was completed so long ago that the upstreams of the old version
+    // have ended; others that are listed then belong to a later release.
+    bool isOver(MonoTime now) const;
     const VersionTally& ownTally() const { return m_ownTally; }
     VersionTally pooledTally() const;
     CanaryShare& share() { return m_share; }
@@ -96,7 +99,8 @@
     MonoTime m_orderedAt;
     RolloutStage m_stage = RolloutStage::kCanary;
     std::optional<MonoTime> m_promotedAt;
-    bool m_followedPromotes = false;  // The box that this one follows promotes.
+    std::optional<MonoTime> m_completedAt;  // When this box first knew of it.
+    bool m_followedPromotes = false;        // The box that this one follows promotes.
     VersionVerdict m_verdict = VersionVerdict::kUndecided;
     VersionTally m_ownTally;
     std::map<std::string, VersionTally> m_peerTallies;  // By the box's address.
--- a/src/gateway/RolloutController.cpp
+++ b/src/gateway/RolloutController.cpp
@@ -76,8 +76,12 @@
 void RolloutController::refresh(MonoTime now) {
     std::erase_if(m_rollouts, [this](const auto& entry) {
         const auto it = m_list.orders().find(entry.first);
-        return it == m_list.orders().end() ||
-               it->second.targetVersion != entry.second.order().targetVersion;
+        const bool isGone = it == m_list.orders().end() ||
+                            it->second.targetVersion != entry.second.order().targetVersion;
+        if (isGone) {
+            m_canaries.erase(entry.first);
+        }
+        return isGone;
     });
     for (const auto& [service, order] : m_list.orders()) {
         const auto it = m_rollouts.find(service);
@@ -150,8 +154,9 @@
             return WithoutVersions{{order.targetVersion}};
         case RolloutStage::kPromoting:
         case RolloutStage::kCompleted:
-            return hasOthers && mayTry ? VersionRule(OnlyVersion{order.targetVersion})
-                                       : VersionRule(AnyVersion{});
+            return hasOthers && mayTry && !rollout.isOver(now)
+                       ? VersionRule(OnlyVersion{order.targetVersion})
+                       : VersionRule(AnyVersion{});
         case RolloutStage::kCanary:
             break;
     }
--- a/src/rollout/ServiceRollout.cpp
+++ b/src/rollout/ServiceRollout.cpp
@@ -19,6 +19,8 @@
 // Answers of this last time, in milliseconds, are compared by themselves as well.
 constexpr Millis kRecentMs = 2000;
 constexpr Millis kSnapshotPeriodMs = 500;
+// The old version's upstreams have ended by then, and have left the list of upstreams.
+constexpr Millis kOldVersionEndMs = 10000;
 
 Millis PartOf(Millis time, double part) {
     return static_cast<Millis>(static_cast<double>(time) * part);
@@ -124,6 +126,7 @@
 void ServiceRollout::decideStage(const RolloutFacts& facts, MonoTime now) {
     if (m_order.state() == RolloutState::kCompleted) {
         m_stage = RolloutStage::kCompleted;
+        m_completedAt = m_completedAt.value_or(now);
     } else if (m_order.state() == RolloutState::kRolledBack || m_verdict == VersionVerdict::kBad) {
         m_stage = RolloutStage::kRolledBack;
     } else if (mayPromote(facts, now)) {
@@ -135,6 +138,10 @@
     }
 }
 
+bool ServiceRollout::isOver(MonoTime now) const {
+    return m_completedAt && now - *m_completedAt >= kOldVersionEndMs;
+}
+
 bool ServiceRollout::mayPromote(const RolloutFacts& facts, MonoTime now) const {
     const bool enoughUpstreams =
         facts.targetReady > 0 && static_cast<double>(facts.targetReady) >=
--- a/tests/RolloutReplayTest.cpp
+++ b/tests/RolloutReplayTest.cpp
@@ -291,3 +291,17 @@
     order.status = RolloutStatus{RolloutState::kRolledBack, "v3"};
     CHECK(order.state() == RolloutState::kRolledBack);
 }
+
+// Guards against a release after a rollout whose upstreams get nothing, because they are not of the
+// version that was rolled out.
+TEST_CASE("A completed rollout binds requests only until the old upstreams have ended") {
+    RolloutOrder order;
+    order.targetVersion = "v2";
+    order.duration = kDuration;
+    order.status = RolloutStatus{RolloutState::kCompleted, "v2"};
+    ServiceRollout rollout(order, kExposureLimit, 0.5, 0, kOrdered);
+    rollout.step({60, 60, true, true}, kOrdered);
+    CHECK(rollout.stage() == RolloutStage::kCompleted);
+    CHECK_FALSE(rollout.isOver(kOrdered + 9999));
+    CHECK(rollout.isOver(kOrdered + 10000));
+}
