--- a/include/admission/LocalRetryBudget.h
+++ b/include/admission/LocalRetryBudget.h
@@ -4,7 +4,7 @@
 // boxes share the slack. The operators' budget covers all boxes together: in any window,
 // retries <= share x first attempts + slack. No box knows the counts of the others, so each keeps
 // the budget with its own first attempts and an equal part of the slack. On a large site this part
-// is less than one retry, so each box rounds it by lot: up as often as it takes for the boxes
+// is less than one retry, so each box rounds it at random: up as often as it takes for the boxes
 // together to have the whole slack.
 #pragma once
 
@@ -45,7 +45,7 @@
 class LocalRetryBudget {
 public:
     // Preconditions: window > 0, share >= 0, slack >= 0. `start`: when the process started. `seed`:
-    // of the lots.
+    // of the random rounding.
     LocalRetryBudget(const LocalRetryBudgetSettings& settings, MonoTime start, uint64_t seed)
         : m_settings(settings), m_start(start), m_seed(seed) {}
 
@@ -62,8 +62,8 @@
 
 private:
     void dropExpired(MonoTime now);
-    bool roundsByLot(size_t boxes) const;
-    double lotAt(MonoTime now) const;
+    bool roundsAtRandom(size_t boxes) const;
+    double roundingOffset(MonoTime now) const;
 
     LocalRetryBudgetSettings m_settings;
     MonoTime m_start;
--- a/include/freshness/FirstListPolicy.h
+++ b/include/freshness/FirstListPolicy.h
@@ -3,8 +3,8 @@
 //
 // The list grows with the site, and so does the number of boxes that read it: if all do, the bytes
 // from the store grow with the square of the site. So after the first page of a list that has more,
-// most boxes wait for a peer; a few, chosen by lot, read on, and each box that has the list passes
-// it on to a few others at a time. A list of one page is always read.
+// most boxes wait for a peer; a few, chosen at random, read on, and each box that has the list
+// passes it on to a few others at a time. A list of one page is always read.
 //
 // Inputs: whether others start by this box, its links, whether it has a list; times in
 // milliseconds.
@@ -32,7 +32,7 @@
     // A box that has no link by then has no peer to wait for.
     static constexpr Millis kLinkWait = 1000;
 
-    // `seed`: of the lot and of the wait. Preconditions: none.
+    // `seed`: of the random choices. Preconditions: none.
     explicit FirstListPolicy(uint64_t seed) : m_seed(seed) {}
 
     // Returns whether the box leaves the rest of a list to its peers, whose first page it has read.
--- a/src/admission/LocalRetryBudget.cpp
+++ b/src/admission/LocalRetryBudget.cpp
@@ -12,8 +12,8 @@
     const double earned = m_settings.share * static_cast<double>(m_firstAttempts.size());
     const bool hasSlack = now - m_start >= m_settings.window;
     const double slack = m_settings.slack / static_cast<double>(boxes);
-    const double lot = roundsByLot(boxes) ? lotAt(now) : 0;
-    const double allowed = earned + (hasSlack ? slack + lot : 0);
+    const double offset = roundsAtRandom(boxes) ? roundingOffset(now) : 0;
+    const double allowed = earned + (hasSlack ? slack + offset : 0);
     if (static_cast<double>(m_retries.size() + 1) > allowed) {
         return false;
     }
@@ -21,9 +21,9 @@
     return true;
 }
 
-// The sum of the boxes' lots varies with the square root of their number. The part of the slack
+// The sum of the rounded parts varies with the square root of their number. The part of the slack
 // that is not planned with has to cover five standard deviations.
-bool LocalRetryBudget::roundsByLot(size_t boxes) const {
+bool LocalRetryBudget::roundsAtRandom(size_t boxes) const {
     constexpr double kDeviations = 5;
     constexpr double kMaxDeviationPerBox = 0.5;
     const double reserve = m_settings.slack * (1 / LocalRetryBudgetSettings::kPlannedFraction - 1);
@@ -31,7 +31,7 @@
 }
 
 // A number from 0 to 1, the same throughout a window.
-double LocalRetryBudget::lotAt(MonoTime now) const {
+double LocalRetryBudget::roundingOffset(MonoTime now) const {
     constexpr uint64_t kSteps = 1 << 20;
     const auto window = static_cast<uint64_t>((now - m_start) / m_settings.window);
     return static_cast<double>(HashPair(m_seed, window) % kSteps) / kSteps;
--- a/src/freshness/FirstListPolicy.cpp
+++ b/src/freshness/FirstListPolicy.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 // Keep the two random choices of a box independent of each other.
-constexpr uint64_t kLotSalt = 1;
+constexpr uint64_t kReaderSalt = 1;
 constexpr uint64_t kWaitSalt = 2;
 
 }  // namespace
 
 bool FirstListPolicy::leavesRestToPeers(bool isSeed, MonoTime now) {
-    const bool readsOn = isSeed || HashPair(m_seed, kLotSalt) % kBoxesPerReader == 0;
+    const bool readsOn = isSeed || HashPair(m_seed, kReaderSalt) % kBoxesPerReader == 0;
     if (readsOn || m_waitsSince) {
         m_readsOnSince = now;
         return false;
--- a/tests/LocalRetryBudgetTest.cpp
+++ b/tests/LocalRetryBudgetTest.cpp
@@ -80,7 +80,7 @@
     }
 }
 
-TEST_CASE("A lot is drawn once for each window, however often a retry is asked for") {
+TEST_CASE("The rounding is the same for a whole window, however often a retry is asked for") {
     const auto settings = LocalRetryBudgetSettings::FromOperatorBudget(10000, 0.2, 1040, 8);
     size_t taken = 0;
     for (size_t box = 0; box < 985; ++box) {
