Fetch prompts' caches from upstreams of any version again

Cause, suspected: since the roll-outs a cache was fetched only from an upstream of the same software version, so the upstreams that a release brings could fetch none from those that they replace. The version of the software says nothing of the weights.

Change: the version does not matter for a fetch.

--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -243,8 +243,9 @@
     return entries;
 }
 
-// The upstream from which `chosen` can fetch the prompt's shared parts, if there is one. Caches of
-// another version are of no use, because they may be those of other weights.
+// The upstream from which `chosen` can fetch the prompt's shared parts, if there is one. Its
+// version does not matter: a new version of the software mostly has the same weights, and an
+// upstream that cannot use a cache reads the prompt.
 std::optional<FetchSource> FetchSourceFor(const GatewaySettings& settings,
                                           const UpstreamList& upstreams,
                                           const UpstreamRecords& records,
@@ -255,7 +256,7 @@
     for (const UpstreamTable::Entry* entry :
          PossibleHolders(upstreams.table(), records, question, now)) {
         const Upstream& upstream = entry->upstream;
-        if (upstream.version == chosen.version && IsInHomes(upstream, settings, question)) {
+        if (IsInHomes(upstream, settings, question)) {
             const bool settled = now - entry->since >= CacheDirectory::kSettledAge;
             candidates.push_back({upstream.id, !records.isEjected(upstream.id, now), settled});
             holders.push_back(&upstream);
