--- a/src/gateway/RolloutController.cpp
+++ b/src/gateway/RolloutController.cpp
@@ -17,7 +17,8 @@
 // Without an order there is nothing to decide; requests look at new orders themselves.
 constexpr Millis kIdlePeriod = 1000;
 constexpr Millis kReportPeriod = 300;
-// A box waits up to this long before it writes a status, at random, so that mostly one box writes it.
+// A box waits up to this long before it writes a status, at random, so that mostly one box writes
+// it.
 constexpr Millis kMaxWriteDelay = 300;
 constexpr Millis kRetryDelay = 500;  // After a call that failed.
 // Orders of this part of the bound on rollbacks are recent enough to send requests to a version on
