--- a/tests/FirstListPolicyTest.cpp
+++ b/tests/FirstListPolicyTest.cpp
@@ -62,8 +62,8 @@
 
 }  // namespace
 
-// Guards against a start of all boxes at which each reads the whole list from the store: 985 boxes
-// times 20 pages are 2.6 GB on the store's line.
+// Guards against a start of all boxes at which each reads the whole list from the store, so that
+// the pages read grow with the square of the site.
 TEST_CASE("Boxes that start together read the list a few times, and all have it soon") {
     const size_t boxes = GENERATE(as<size_t>(), 300, 985, 1970);
     const size_t pages = boxes / 50;
