Log when a box reaches no upstream of a service, and why connections cannot be opened

Callers of partitioned boxes were refused, and no single box's log could tell a fault of its own network from a fault of the upstreams: the lines 2002 say not-sent without the error, and nothing puts the failures together. ServiceReach does (three upstreams of a service in a row, no new connection in between), event 2113 and the metric onyx_services_lost show it, and 2002 has connect_error. A lost service is probed every 300 ms. Nothing decides by it yet.

--- a/include/gateway/Attempt.h
+++ b/include/gateway/Attempt.h
@@ -47,6 +47,7 @@
     bool isOfPast() const;
     std::optional<Millis> timeToFirstByte(AttemptEnd end, Millis took) const;
     void noteHealth(AttemptEnd end);
+    void noteReach(const AttemptReport& report);
 
     RequestContext& m_context;
     CallerConnection& m_caller;
@@ -56,6 +57,7 @@
     std::shared_ptr<UpstreamExchange> m_exchange;
     MonoTime m_start;
     bool m_sent = false;
+    std::string m_connectError;  // Why no connection could be opened; empty: none failed.
 };
 
 }  // namespace onyx
--- a/include/gateway/ConnectionReport.h
+++ b/include/gateway/ConnectionReport.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace onyx {
@@ -40,6 +41,7 @@
     Millis idle = 0;    // There, since its last answer.
     std::optional<size_t> unacknowledged;  // Bytes, when this box ended it; else nothing.
     ConnectionEnd end = ConnectionEnd::kNone;
+    std::string connectError;  // Why it could not be opened; empty: it was, or nobody tried.
 };
 
 }  // namespace onyx
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -5,6 +5,7 @@
 //   UpstreamList        the list of upstreams and its age
 //   UpstreamRecords     their health, loads and caches, kept connections
 //   QuarantineController  which requests crash upstreams
+//   ReachMonitor        of which services this box reaches no upstream
 //   RolloutList         the operators' rollout orders and their age
 //   RolloutController   the rollouts, as this box carries them out
 //   Lifecycle           how far this box's life has come, requests under way
@@ -82,6 +83,7 @@
     RolloutController m_rollouts;
     PeerSync m_sync;
     QuarantineController m_quarantine;
+    ReachMonitor m_reach;
     RequestContext m_context;
     CallerServer m_callers;
     StatusServer m_status;
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -10,6 +10,7 @@
 #include "include/gateway/PeerMesh.h"
 #include "include/gateway/PlaceAttempt.h"
 #include "include/gateway/QuarantineController.h"
+#include "include/gateway/ReachMonitor.h"
 #include "include/gateway/RequestLog.h"
 #include "include/gateway/RolloutController.h"
 #include "include/gateway/UpstreamList.h"
@@ -35,6 +36,7 @@
     RequestLog& log;
     QuarantineController& quarantine;
     RolloutController& rollouts;
+    ReachMonitor& reach;
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -62,6 +62,8 @@
     // Whether the upstream's machine stopped taking bytes or answering keep-alive probes: the
     // network is cut, whatever became of the request. Preconditions: none.
     bool unreachable() const { return m_unreachable; }
+    // Whether connect() opened the connection. Preconditions: connect() succeeded.
+    bool isNewConnection() const { return !m_report.kept; }
     // What the connection was and how it ended. Preconditions: finish() was called.
     const ConnectionReport& connection() const { return m_report; }
     // The length of the answer's body, if its head has it. Preconditions: as for head().
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -66,6 +66,7 @@
     kRolloutOrdered = 2110,
     kRolloutStage = 2111,
     kRolloutStatus = 2112,
+    kServiceReach = 2113,
     kStoreDown = 2200,
     kStoreUp = 2201,
     kCatalogInForce = 2202,
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -33,11 +33,13 @@
     report.took = ReadClocks().mono - m_start;
     report.firstByte = timeToFirstByte(ended.end, report.took);
     report.connection = m_exchange->connection();
+    report.connection.connectError = m_connectError;
     report.leaving = m_exchange->facts().leaving;
     report.backoff = m_exchange->facts().backoff;
     const bool broke = ended.end == AttemptEnd::kUnclear || ended.end == AttemptEnd::kStreamBroken;
     report.upstreamEnded =
         m_sent && broke && (report.connection.end == ConnectionEnd::kPeer || isOfPast());
+    noteReach(report);
     co_return report;
 }
 
@@ -83,6 +85,11 @@
     const ConnectionBounds bounds =
         ConnectionBounds::ForObjective(route.objective, settings.connectTimeout);
     const Result<bool> connected = co_await m_exchange->connect(maxIdle, bounds);
+    if (connected.has_error()) {
+        m_connectError = connected.error().message;
+    } else if (m_exchange->isNewConnection()) {
+        m_context.reach.noteConnected(m_place.upstream);
+    }
     const auto age = m_context.configuration.age(ReadClocks().mono);
     co_return connected.has_value() && !m_caller.gone() && MaySend(settings.admission, route, age);
 }
@@ -154,6 +161,15 @@
     }
 }
 
+// What a caller that left, or a restart of the upstream, has cancelled says nothing of the network.
+void Attempt::noteReach(const AttemptReport& report) {
+    const bool unreached = !m_connectError.empty() || report.unreachable ||
+                           report.connection.end == ConnectionEnd::kPeer;
+    if (unreached && !m_caller.gone() && !isOfPast()) {
+        m_context.reach.noteUnreached(m_place.upstream);
+    }
+}
+
 // A caller that left says nothing of the upstream.
 void Attempt::noteHealth(AttemptEnd end) {
     const auto sign = AttemptHealthSignal(end, m_exchange->unreachable());
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -55,9 +55,10 @@
       m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
              m_mesh),
       m_quarantine(io, m_records, m_mesh, m_log),
-      m_context{io,        settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
-                m_records, m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
-                m_rollouts},
+      m_reach(io, m_upstreams, m_metrics),
+      m_context{io,         settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
+                m_records,  m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
+                m_rollouts, m_reach},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -90,6 +90,7 @@
               {"took_ms", std::to_string(report.took)},
               {"connection", connection.kept ? "kept" : "new"},
               {"rested_ms", std::to_string(connection.idle)},
+              {"connect_error", connection.connectError},
               {"ended_by", std::string(ConnectionEndName(connection.end))},
               {"unacknowledged", NumberOr(connection.unacknowledged, "unknown")},
               {"fingerprint", report.fingerprint ? FingerprintText(*report.fingerprint) : ""},
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -71,6 +71,7 @@
     {Event::kRolloutOrdered, "rollout-ordered"},
     {Event::kRolloutStage, "rollout-stage"},
     {Event::kRolloutStatus, "rollout-status"},
+    {Event::kServiceReach, "service-reach"},
     {Event::kStoreDown, "store-down"},
     {Event::kStoreUp, "store-up"},
     {Event::kCatalogInForce, "catalog-in-force"},
