Pass the probe of a lost service its name as text

Cause: the coroutine that probes a lost service took a ServiceId by value; g++ 12 gave it a frame in which parameters lie elsewhere, and the process ended with SIGSEGV when a service was lost. A text as parameter, as in CrashDetector, is laid out right.

--- a/include/gateway/ReachMonitor.h
+++ b/include/gateway/ReachMonitor.h
@@ -36,8 +36,8 @@
     std::vector<ServiceId> lost() const { return m_reach.lost(); }
 
 private:
-    Task<> probeWhileLost(ServiceId service);
-    Task<bool> probe(const ServiceId& service);
+    Task<> probeWhileLost(std::string name);
+    Task<bool> takesConnection(std::string address);
     std::string randomAddress(const ServiceId& service);
     void endLoss(const ServiceId& service);
     void log(const ServiceId& service, bool lost, size_t unreached);
--- a/src/gateway/ReachMonitor.cpp
+++ b/src/gateway/ReachMonitor.cpp
@@ -33,7 +33,8 @@
         return;
     }
     log(service, true, m_reach.unreached(service));
-    Spawn(m_io.get_executor(), probeWhileLost(service));
+    std::string name = service.value;
+    Spawn(m_io.get_executor(), probeWhileLost(std::move(name)));
 }
 
 void ReachMonitor::endLoss(const ServiceId& service) {
@@ -42,11 +43,13 @@
     }
 }
 
-Task<> ReachMonitor::probeWhileLost(ServiceId service) {
+Task<> ReachMonitor::probeWhileLost(std::string name) {
+    const ServiceId service(name);
     while (m_reach.isLost(service)) {
-        if (co_await probe(service)) {
+        std::string address = randomAddress(service);
+        const bool reached = co_await takesConnection(std::move(address));
+        if (reached) {
             endLoss(service);
-            co_return;
         }
         co_await SleepFor(kProbePeriod);
     }
@@ -54,8 +57,7 @@
 
 // A service without upstreams cannot be probed; it is lost no more, since there is nothing to
 // reach.
-Task<bool> ReachMonitor::probe(const ServiceId& service) {
-    const std::string address = randomAddress(service);
+Task<bool> ReachMonitor::takesConnection(std::string address) {
     const Result<Endpoint> peer = ParseEndpoint(address);
     if (peer.has_error()) {
         co_return true;
