--- a/include/standin/FakeLink.h
+++ b/include/standin/FakeLink.h
@@ -6,8 +6,19 @@
 
 #include "include/net/Net.h"
 
+#include <memory>
+#include <vector>
+
 namespace onyx {
 
+// What a link does with connections.
+enum class LinkState : uint8_t {
+    kOpen,
+    kHangs,       // Nothing passes on open connections, and new ones do not come up.
+    kResets,      // Open connections are reset and new ones refused.
+    kRefusesNew,  // Open connections live on, new ones are refused.
+};
+
 // Not thread safe: one io_context.
 class FakeLink {
 public:
@@ -20,19 +31,31 @@
     // Lets nothing pass from now on, or everything again. Preconditions: none.
     void setCut(bool cut) { m_cut = cut; }
 
+    // Treats connections as `state` says from now on. Preconditions: listen() succeeded.
+    void setState(LinkState state);
+
     // Bytes that a cut holds now, and that were lost since their sender reset its connection.
     // Preconditions: none.
     size_t heldBytes() const { return m_held; }
     size_t lostBytes() const { return m_lost; }
 
 private:
-    Task<> accept(Tcp::acceptor acceptor);
+    Result<bool> bind(const Endpoint& endpoint);
+    void startListening(int backlog);
+    Task<> accept();
+    void fillBacklog();
+    void resetConnections();
     Task<> serve(Tcp::socket from);
     Task<> pump(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to);
     Task<bool> hold(Tcp::socket& from, size_t bytes);
 
     asio::io_context& m_io;
     Endpoint m_to;
+    Tcp::acceptor m_acceptor{m_io};
+    Endpoint m_endpoint;
+    LinkState m_state = LinkState::kOpen;
+    std::vector<std::weak_ptr<Tcp::socket>> m_sockets;  // Of both sides of all connections.
+    std::vector<Tcp::socket> m_fillers;                 // Connections that nobody accepts.
     bool m_cut = false;
     size_t m_held = 0;
     size_t m_lost = 0;
--- a/src/standin/FakeLink.cpp
+++ b/src/standin/FakeLink.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cstdlib>
 
 namespace onyx {
 
@@ -19,27 +22,84 @@
 }  // namespace
 
 Result<Endpoint> FakeLink::listen() {
-    error_code ec;
     const Endpoint any(asio::ip::make_address_v4("127.0.0.1"), 0);
-    Tcp::acceptor acceptor(m_io);
-    acceptor.open(any.protocol(), ec);
-    acceptor.bind(any, ec);
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
+    BOOST_OUTCOME_TRY(bind(any));
+    m_endpoint = m_acceptor.local_endpoint();
+    startListening(asio::socket_base::max_listen_connections);
+    return m_endpoint;
+}
+
+// A socket that is bound and does not listen keeps its port, and connections to it are refused.
+Result<bool> FakeLink::bind(const Endpoint& endpoint) {
+    error_code ec;
+    m_acceptor.close(ec);
+    m_acceptor.open(endpoint.protocol(), ec);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    m_acceptor.bind(endpoint, ec);
     if (ec) {
-        return Error{ErrorCode::kUnavailable, "link.listen", EndpointText(any), ec.message()};
+        return Error{ErrorCode::kUnavailable, "link.listen", EndpointText(endpoint), ec.message()};
     }
-    const Endpoint endpoint = acceptor.local_endpoint();
-    Spawn(m_io.get_executor(), accept(std::move(acceptor)));
-    return endpoint;
+    return true;
 }
 
-Task<> FakeLink::accept(Tcp::acceptor acceptor) {
+void FakeLink::startListening(int backlog) {
+    error_code ec;
+    m_acceptor.listen(backlog, ec);
+    if (backlog > 0) {
+        Spawn(m_io.get_executor(), accept());
+    }
+}
+
+void FakeLink::setState(LinkState state) {
+    m_state = state;
+    m_cut = state == LinkState::kHangs;
+    m_fillers.clear();
+    if (bind(m_endpoint).has_error()) {
+        std::abort();
+    }
+    if (state == LinkState::kOpen) {
+        startListening(asio::socket_base::max_listen_connections);
+    } else if (state == LinkState::kHangs) {
+        startListening(0);
+        fillBacklog();
+    } else if (state == LinkState::kResets) {
+        resetConnections();
+    }
+}
+
+// The system drops the first packet of a connection while the backlog is full.
+void FakeLink::fillBacklog() {
+    constexpr int kConnections = 2;
+    for (int i = 0; i < kConnections; ++i) {
+        Tcp::socket& socket = m_fillers.emplace_back(m_io);
+        error_code ec;
+        socket.open(m_endpoint.protocol(), ec);
+        // Asio's own connect() waits until the connection is up.
+        socket.native_non_blocking(true, ec);
+        ::connect(socket.native_handle(), m_endpoint.data(),
+                  static_cast<socklen_t>(m_endpoint.size()));
+    }
+}
+
+void FakeLink::resetConnections() {
+    for (const auto& weak : m_sockets) {
+        if (const auto socket = weak.lock()) {
+            error_code ec;
+            SetResetOnClose(*socket);
+            socket->close(ec);
+        }
+    }
+    m_sockets.clear();
+}
+
+Task<> FakeLink::accept() {
     while (true) {
         error_code ec;
         Tcp::socket socket =
-            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+            co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor) {
+            co_return;
+        }
         if (!ec) {
             Spawn(m_io.get_executor(), serve(std::move(socket)));
         }
@@ -49,6 +109,9 @@
 Task<> FakeLink::serve(Tcp::socket from) {
     auto near = std::make_shared<Tcp::socket>(std::move(from));
     auto far = std::make_shared<Tcp::socket>(m_io);
+    std::erase_if(m_sockets, [](const auto& socket) { return socket.expired(); });
+    m_sockets.push_back(near);
+    m_sockets.push_back(far);
     while (m_cut) {
         co_await SleepFor(kCutStep);
     }
