Have neighbours handle the requests of a box that reaches no upstream

The class: a box takes each failed connection as a sign of that upstream, and has no notion of its own network and no other way to an upstream.

Evidence: on the three boxes 100 % of the connects failed from 5 to 17 s, none on the others; all six were linked, ready and fresh.

Now: a request whose connects failed twice, or whose service is lost (ServiceReach), is handled by a linked box that takes such requests and has not announced the service as lost. The other box handles it as its own caller's: it places, retries, counts and observes what upstreams ask for, so that DRAIN, backoff, cold shares, budgets and quarantine hold there as for its own. At most once: only a request that reached no upstream is relayed, a box that took it is the only one, and a relayed request is never passed on. A box that cannot serve it says so before anything runs; it also refuses while its configuration is older than that of the sender. HOME: only boxes in the allowed regions. Builds before this one are not asked. While connects fail, kept connections are not used, since a request on one may be lost; ejections of that time end when the service is reached again.

--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -74,6 +74,9 @@
     // Preconditions: `fields` are a copy of the caller's.
     virtual void writeUpstreamRequest(HttpFields& fields, const UpstreamRequest& request) const = 0;
 
+    // Sets how long the caller of a request waits from now on. Preconditions: none.
+    virtual void setTimeLeft(HttpFields& fields, Millis timeLeft) const = 0;
+
     // Reads the head of an upstream's answer. Preconditions: none.
     virtual UpstreamFacts readUpstream(const ResponseHead& head) const = 0;
 
--- a/include/gateway/CallerConnection.h
+++ b/include/gateway/CallerConnection.h
@@ -22,6 +22,12 @@
 
 using CallerMessage = boost::beast::http::request<boost::beast::http::string_body>;
 
+// Who sends the requests of a connection.
+enum class RequestOrigin : uint8_t {
+    kCaller,
+    kBox,  // Another box relays requests of its callers.
+};
+
 // How reading a request ended.
 enum class ReadEnd : uint8_t {
     kRequest,   // One whole request.
@@ -42,7 +48,11 @@
 // Not thread safe: one io_context. Held by shared_ptr, since reads outlive the caller's task.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    explicit CallerConnection(Tcp::socket socket);
+    // Preconditions: none.
+    explicit CallerConnection(Tcp::socket socket, RequestOrigin origin = RequestOrigin::kCaller);
+
+    // Whether another box relays the requests of this connection. Preconditions: none.
+    bool isFromBox() const { return m_origin == RequestOrigin::kBox; }
 
     // Reads the next request. Preconditions: the one before is answered.
     Task<ReadRequest> read(const CallerLimits& limits);
@@ -80,6 +90,7 @@
     bool hasFoldedHeader() const;
 
     Tcp::socket m_socket;
+    RequestOrigin m_origin;
     boost::beast::flat_buffer m_buffer;
     asio::steady_timer m_readDone;  // Cancelled when a pending read ends.
     bool m_reading = false;
--- a/include/gateway/CallerServer.h
+++ b/include/gateway/CallerServer.h
@@ -23,6 +23,9 @@
     // Preconditions: called once.
     Result<bool> start();
 
+    // Serves the requests that another box relays on a connection. Preconditions: none.
+    void takeRelayed(Tcp::socket socket);
+
     // Takes no more connections and closes those that wait for a request.
     // Preconditions: start() succeeded.
     void close();
@@ -32,6 +35,7 @@
 
 private:
     Task<> serve(std::shared_ptr<CallerConnection> caller);
+    Task<> serveBox(std::shared_ptr<CallerConnection> box);
     Task<> answerBad(CallerConnection& caller, const ReadRequest& request);
 
     RequestContext& m_context;
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -6,6 +6,7 @@
 //   UpstreamRecords     their health, loads and caches, kept connections
 //   QuarantineController  which requests crash upstreams
 //   ReachMonitor        of which services this box reaches no upstream
+//   RelayController     requests that other boxes handle for this one
 //   RolloutList         the operators' rollout orders and their age
 //   RolloutController   the rollouts, as this box carries them out
 //   Lifecycle           how far this box's life has come, requests under way
@@ -63,6 +64,7 @@
     Gateway(asio::io_context& io, const GatewaySettings& settings, const Dialect& dialect);
     Result<bool> start();
     bool knowsEnough() const;
+    void onReachChange(const ServiceId& service, bool lost);
     StorePacingInputs pacingFacts() const;
     Task<> runDrain(std::function<void()> done);
     Task<> trimConnections();
@@ -84,6 +86,7 @@
     PeerSync m_sync;
     QuarantineController m_quarantine;
     ReachMonitor m_reach;
+    RelayController m_relays;
     RequestContext m_context;
     CallerServer m_callers;
     StatusServer m_status;
--- a/include/gateway/LoadExchange.h
+++ b/include/gateway/LoadExchange.h
@@ -42,6 +42,10 @@
     // Preconditions: none.
     void setLoadReportSupport(const std::string& address, bool takesLoadReports);
 
+    // Sets the services of which this box reaches no upstream, as ShortHash of their names. They
+    // are announced with the next digest, which is due at once. Preconditions: none.
+    void setLostServices(std::vector<uint32_t> services);
+
     // Applies a digest or load reports from the box at `from`; ignores other messages.
     // Preconditions: `now` does not decrease between calls.
     void handleMessage(const std::string& from, const wire::BodyUnion& body, MonoTime now);
@@ -62,6 +66,8 @@
     int64_t m_budget;
     MonoTime m_lastDigestAt;
     PeerCounts::Counts m_announcedLoads;  // The loads in the last digest.
+    std::vector<uint32_t> m_lostServices;
+    bool m_lostServicesChanged = false;  // Since the last digest.
     Millis m_digestPeriod = 100;
     uint64_t m_sequence = 0;
     std::set<std::string> m_withoutLoadReports;  // Boxes that do not support LoadReports frames.
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -26,6 +26,13 @@
 
 namespace onyx {
 
+// A linked box that takes relayed requests.
+struct RelayBox {
+    std::string address;
+    std::string zone;
+    std::vector<uint32_t> lostServices;  // It reaches none of their upstreams; ShortHash of names.
+};
+
 // Not thread safe: one io_context.
 class PeerMesh {
 public:
@@ -37,6 +44,8 @@
         std::function<void(const std::string& from, const wire::CrashReportsT&)> onCrashReports;
         std::function<void(const std::string& from, const wire::RolloutReportsT&)> onRolloutReports;
         std::function<void(const std::string& address)> onLinked;  // A link is established.
+        // Another box has opened a connection on which it relays requests, as HTTP.
+        std::function<void(Tcp::socket)> onRelayConnection;
     };
 
     // Preconditions: context, settings, records and metrics outlive the mesh.
@@ -84,6 +93,18 @@
     // The addresses of all linked boxes that accept CrashReports. Preconditions: none.
     std::vector<std::string> linkedTakingCrashReports() const;
 
+    // The linked boxes that take relayed requests. Preconditions: none.
+    std::vector<RelayBox> relayBoxes() const;
+    // Opens a connection to the box at `address` on which requests can be relayed, as HTTP.
+    // Errors: kUnavailable, kTimeout, kProtocol; nothing was sent then.
+    // Preconditions: the box takes relayed requests.
+    Task<Result<Tcp::socket>> openRelay(std::string address) const;
+    // Announces the services of which this box reaches no upstream, as ShortHash of their names.
+    // Preconditions: none.
+    void announceLostServices(std::vector<uint32_t> services) {
+        m_exchange.setLostServices(std::move(services));
+    }
+
     // Sends a frame to the boxes in `outgoing.to`; drops it for boxes that are not linked.
     // Preconditions: none.
     void sendEncoded(const OutgoingFrame& outgoing);
@@ -101,7 +122,8 @@
         Millis digestPeriod = 0;       // As last announced by the peer; 0 if not yet announced.
         bool dialed = false;           // This box dialed the link.
         bool receivedBoxList = false;  // The peer has sent its box list.
-        bool receivedUnknownFrame = false;  // Of a type that this build does not support.
+        bool receivedUnknownFrame = false;   // Of a type that this build does not support.
+        std::vector<uint32_t> lostServices;  // As in its last digest.
     };
 
     Task<> acceptLink(Tcp::socket socket);
--- a/include/gateway/ReachMonitor.h
+++ b/include/gateway/ReachMonitor.h
@@ -10,6 +10,7 @@
 #include "include/net/Net.h"
 #include "include/observe/Metrics.h"
 
+#include <functional>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,8 +20,10 @@
 // Not thread safe: one io_context.
 class ReachMonitor {
 public:
-    // Preconditions: all arguments outlive the monitor.
-    ReachMonitor(asio::io_context& io, const UpstreamList& upstreams, Metrics& metrics);
+    // `onChange` is called when a service is lost or reached again. Preconditions: the other
+    // arguments outlive the monitor.
+    ReachMonitor(asio::io_context& io, const UpstreamList& upstreams, Metrics& metrics,
+                 std::function<void(const ServiceId&, bool lost)> onChange);
 
     // Records that a connection to an upstream was opened. Preconditions: none.
     void noteConnected(const Upstream& upstream);
@@ -32,6 +35,9 @@
     // Whether this box reaches no upstream of `service`. Preconditions: none.
     bool isLost(const ServiceId& service) const { return m_reach.isLost(service); }
 
+    // Whether connections from before may have ended without a word. Preconditions: none.
+    bool isInDoubt(const ServiceId& service) const { return m_reach.isInDoubt(service); }
+
     // All services of which this box reaches no upstream. Preconditions: none.
     std::vector<ServiceId> lost() const { return m_reach.lost(); }
 
@@ -40,11 +46,12 @@
     Task<bool> takesConnection(std::string address);
     std::string randomAddress(const ServiceId& service);
     void endLoss(const ServiceId& service);
-    void log(const ServiceId& service, bool lost, size_t unreached);
+    void noteChange(const ServiceId& service, bool lost, size_t unreached);
 
     asio::io_context& m_io;
     const UpstreamList& m_upstreams;
     Metrics& m_metrics;
+    std::function<void(const ServiceId&, bool lost)> m_onChange;
     ServiceReach m_reach;
     std::minstd_rand m_random{std::random_device{}()};
 };
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -11,6 +11,7 @@
 #include "include/gateway/PlaceAttempt.h"
 #include "include/gateway/QuarantineController.h"
 #include "include/gateway/ReachMonitor.h"
+#include "include/gateway/RelayController.h"
 #include "include/gateway/RequestLog.h"
 #include "include/gateway/RolloutController.h"
 #include "include/gateway/UpstreamList.h"
@@ -37,6 +38,7 @@
     QuarantineController& quarantine;
     RolloutController& rollouts;
     ReachMonitor& reach;
+    RelayController& relays;
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -8,6 +8,7 @@
 #include "include/gateway/AnswerRelay.h"
 #include "include/gateway/Attempt.h"
 #include "include/gateway/CallerConnection.h"
+#include "include/gateway/RelayAttempt.h"
 #include "include/gateway/RequestContext.h"
 #include "include/relay/RequestAttempts.h"
 
@@ -33,6 +34,10 @@
     std::optional<Refusal> readHead();
     std::optional<Refusal> admit();
     std::optional<Refusal> checkQuarantine(MonoTime now);
+    // Why this box does not handle a request that another box relays; nothing if it does, or if the
+    // request is a caller's.
+    std::optional<Refusal> checkRelayed();
+    std::optional<Refusal> checkRelayedService() const;
     Task<AfterAnswer> serve();
     std::optional<AttemptPlace> place();
     PlacementQuestion placementQuestion(VersionRule versions) const;
@@ -42,6 +47,13 @@
     void noteLeftOut(Refusal& refusal) const;
     Task<Verdict> attempt(const AttemptPlace& place);
     Verdict judge(AttemptEnd end);
+    // Whether another box should handle the request, because this one reaches no upstream.
+    bool shouldRelay() const;
+    // Has another box handle the request; nothing if none took it.
+    Task<std::optional<Verdict>> relay();
+    Verdict judgeRelayed(const RelayReport& report);
+    // Tells the box that relayed the request that it has not run.
+    void markNotRun(HttpFields& fields, const Refusal& refusal) const;
     // Carries out what is the last step of a request.
     Task<AfterAnswer> conclude(const Verdict& verdict);
     Task<AfterAnswer> deliver();
@@ -61,12 +73,15 @@
     CallerFacts m_facts;
     Admission m_admission;
     RequestAttempts m_attempts{AttemptRules{}};
-    std::optional<AnswerRelay> m_relay;     // Once the head is read.
-    bool m_sent = false;                    // Any attempt went out.
-    bool m_timedOut = false;                // The last attempt ended for lack of time.
-    std::set<std::string> m_tried;          // Upstreams of the attempts so far.
-    std::string m_upstream;                 // Of the last attempt.
-    std::optional<uint64_t> m_fingerprint;  // Once it was asked for.
+    std::optional<AnswerRelay> m_relay;       // Once the head is read.
+    bool m_sent = false;                      // Any attempt went out.
+    bool m_timedOut = false;                  // The last attempt ended for lack of time.
+    std::set<std::string> m_tried;            // Upstreams of the attempts so far.
+    std::string m_upstream;                   // Of the last attempt.
+    int m_unreached = 0;                      // Attempts in a row that could not connect.
+    std::set<std::string> m_triedBoxes;       // To which the request was to be relayed.
+    std::optional<Millis> m_relayRetryAfter;  // When the other box says that the caller may retry.
+    std::optional<uint64_t> m_fingerprint;    // Once it was asked for.
 };
 
 }  // namespace onyx
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -34,9 +34,20 @@
     ConnectionReport connection;
 };
 
+// How a try to relay a request ended.
+struct RelayReport {
+    std::string box;
+    AttemptEnd end = AttemptEnd::kNotSent;
+    bool unavailable = false;  // The box cannot serve the request now; it has not run.
+    bool timedOut = false;
+    std::optional<Millis> retryAfter;  // When the box says that the caller may retry.
+    Millis took = 0;
+};
+
 // What the log says of a request at its end.
 struct RequestReport {
     std::string id;
+    bool forBox = false;   // Another box relayed it, which counts it for the error budgets.
     std::string upstream;  // Of the last attempt.
     int attempts = 0;
     bool mayHaveRun = false;
@@ -80,6 +91,9 @@
     void attemptEnded(const std::string& request, const AttemptReport& report,
                       const Verdict& verdict);
 
+    // A try to have another box handle a request has ended. Preconditions: none.
+    void relayed(const std::string& request, const RelayReport& report);
+
     // A header of an upstream's answer cannot be read; the answer goes on without it.
     // Preconditions: none.
     void headUnreadable(const std::string& request, const std::string& upstream,
@@ -122,7 +136,7 @@
 private:
     // Counts a request for the report on error budgets (Burn.h). `good`: it was answered, not by a
     // server's error, and its first byte came within the route's objective.
-    void countForBudget(const Admission* admission, bool good);
+    void countForBudget(const RequestReport& request, const Admission* admission, bool good);
 
     Metrics& m_metrics;
     bool m_servesStale = false;  // The last request was decided on a stale configuration.
--- a/include/gateway/UpstreamExchange.h
+++ b/include/gateway/UpstreamExchange.h
@@ -39,6 +39,10 @@
     // Errors: kUnavailable, kTimeout; nothing was sent then. Preconditions: called once.
     Task<Result<bool>> connect(Millis maxIdle, const ConnectionBounds& bounds);
 
+    // Uses a connection that is open, in place of connect(). It is not kept afterwards.
+    // Errors: kUnavailable if it has ended. Preconditions: called once.
+    Result<bool> adopt(Tcp::socket socket, const ConnectionBounds& bounds);
+
     // Sends `message` and reads the head of the answer that carries this request's id. Other
     // answers, which nobody waits for any more, are passed over.
     // Preconditions: connect() succeeded; called once.
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -101,6 +101,10 @@
     // between calls.
     bool recordSignal(const std::string& id, HealthSignal sign, MonoTime sent, MonoTime now);
 
+    // Ends the ejection of an upstream that was out of reach of this box alone. Preconditions:
+    // none.
+    void endUnreachable(const std::string& id) { m_health.endUnreachable(id); }
+
     // The upstreams that asked in their answers to get no requests. Preconditions: none.
     UpstreamAvoidance& avoidance() { return m_avoidance; }
     const UpstreamAvoidance& avoidance() const { return m_avoidance; }
--- a/include/health/ServiceReach.h
+++ b/include/health/ServiceReach.h
@@ -38,6 +38,10 @@
     // Returns whether the network to the upstreams of `service` is lost. Preconditions: none.
     bool isLost(const ServiceId& service) const;
 
+    // Returns whether connections to upstreams of `service` have failed since the last one was
+    // opened, so that connections from before are in doubt. Preconditions: none.
+    bool isInDoubt(const ServiceId& service) const { return unreached(service) > 0; }
+
     // Returns all lost services. Preconditions: none.
     std::vector<ServiceId> lost() const;
 
--- a/include/health/UpstreamHealth.h
+++ b/include/health/UpstreamHealth.h
@@ -53,6 +53,10 @@
     // Preconditions: `now` never decreases between calls.
     bool isEjected(const std::string& upstream, MonoTime now) const;
 
+    // Ends the ejection of an upstream that was out of reach, because it was this box's network
+    // that had failed. Preconditions: none.
+    void endUnreachable(const std::string& upstream);
+
     // Removes the record of an upstream that no longer exists. Preconditions: none.
     void forget(const std::string& upstream) { m_records.erase(upstream); }
 
@@ -62,6 +66,7 @@
         double failed = 0;
         int consecutiveSilent = 0;
         Millis lastEjection = 0;
+        bool ejectedAsUnreachable = false;  // The last ejection followed kUnreachable.
         MonoTime ejectedUntil;
         MonoTime decayedAt;
         MonoTime lastAnswerAt;
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -53,6 +53,7 @@
     kAnswerHeadBad = 2006,
     kRequestQuarantined = 2007,
     kAllLeftOut = 2008,
+    kRequestRelayed = 2009,
     kUpstreamChanged = 2100,
     kUpstreamEjected = 2101,
     kObjectBad = 2102,
--- a/include/wire/FrameLink.h
+++ b/include/wire/FrameLink.h
@@ -24,12 +24,19 @@
     using OnFrame = std::function<void(FrameLink&, wire::BodyUnion&)>;
     using OnClosed = std::function<void(FrameLink&)>;
 
-    // Connects to `peer` and exchanges greetings. Errors: kUnavailable, kTimeout, kProtocol.
+    // Connects to `peer` and exchanges greetings. `timeout`: milliseconds for each of the two.
+    // Errors: kUnavailable, kTimeout, kProtocol.
     // Preconditions: called in a coroutine of the link's io_context.
-    static Task<Result<std::shared_ptr<FrameLink>>> Connect(Endpoint peer, wire::HelloT hello);
+    static Task<Result<std::shared_ptr<FrameLink>>> Connect(Endpoint peer, wire::HelloT hello,
+                                                            Millis timeout = kGreetingTimeout);
 
     // Takes an accepted socket and exchanges greetings. Errors as for Connect.
-    static Task<Result<std::shared_ptr<FrameLink>>> Accept(Tcp::socket socket, wire::HelloT hello);
+    static Task<Result<std::shared_ptr<FrameLink>>> Accept(Tcp::socket socket, wire::HelloT hello,
+                                                           Millis timeout = kGreetingTimeout);
+
+    // Hands over the socket of a greeted connection that carries no frames from now on.
+    // Preconditions: start() was not called; the link is not used afterwards.
+    Tcp::socket releaseSocket() { return std::move(m_socket); }
 
     // Starts to read: `onFrame` for each message, `onClosed` once. A broken frame closes the link
     // with event 1102; a message of a kind that this version does not know is handed on
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -5,6 +5,12 @@
 
 namespace onyx {
 
+namespace {
+
+constexpr Millis kNoIdleConnection = -1;
+
+}  // namespace
+
 Attempt::Attempt(RequestContext& context, CallerConnection& caller, AnswerRelay& relay,
                  const AttemptRequest& request, const AttemptPlace& place)
     : m_context(context),
@@ -81,7 +87,11 @@
 Task<bool> Attempt::connect() {
     const GatewaySettings& settings = m_context.settings;
     const Route& route = *m_request.admission.route;
-    const Millis maxIdle = route.repeatable ? settings.idleConnection : settings.onceConnection;
+    Millis maxIdle = route.repeatable ? settings.idleConnection : settings.onceConnection;
+    if (m_context.reach.isInDoubt(m_request.admission.service)) {
+        maxIdle =
+            kNoIdleConnection;  // A request on it may be lost; a failed connect sends nothing.
+    }
     const ConnectionBounds bounds =
         ConnectionBounds::ForObjective(route.objective, settings.connectTimeout);
     const Result<bool> connected = co_await m_exchange->connect(maxIdle, bounds);
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -22,6 +22,11 @@
 constexpr Millis kLingerTime = 500;
 // A caller whose machine acknowledges nothing for this long is dropped.
 constexpr Millis kUserTimeout = 10000;
+// The same for another box, which has given the request up by then; and the idle time before its
+// machine is probed, and the number of probes, since nothing is sent while an answer is awaited.
+constexpr Millis kBoxUserTimeout = 1000;
+constexpr Millis kBoxKeepAliveIdle = 1000;
+constexpr int kBoxKeepAliveCount = 2;
 
 ReadEnd EndOf(const beast::error_code& ec) {
     const bool large = ec == http::error::body_limit || ec == http::error::header_limit ||
@@ -31,11 +36,17 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(Tcp::socket socket)
-    : m_socket(std::move(socket)), m_readDone(m_socket.get_executor()) {
+CallerConnection::CallerConnection(Tcp::socket socket, RequestOrigin origin)
+    : m_socket(std::move(socket)), m_origin(origin), m_readDone(m_socket.get_executor()) {
     beast::error_code ec;
     m_socket.set_option(Tcp::no_delay(true), ec);
-    SetUserTimeout(m_socket, kUserTimeout);  // One that takes no option has ended: reading tells.
+    // One that takes no option has ended: reading tells.
+    if (isFromBox()) {
+        SetUserTimeout(m_socket, kBoxUserTimeout);
+        StartKeepAlive(m_socket, kBoxKeepAliveIdle, kBoxKeepAliveCount);
+    } else {
+        SetUserTimeout(m_socket, kUserTimeout);
+    }
 }
 
 void CallerConnection::startRead() {
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -32,6 +32,17 @@
     return true;
 }
 
+void CallerServer::takeRelayed(Tcp::socket socket) {
+    auto box = std::make_shared<CallerConnection>(std::move(socket), RequestOrigin::kBox);
+    Spawn(m_context.io.get_executor(), serveBox(std::move(box)));
+}
+
+Task<> CallerServer::serveBox(std::shared_ptr<CallerConnection> box) {
+    m_context.relays.recordTakenStart();
+    co_await serve(std::move(box));
+    m_context.relays.recordTakenEnd();
+}
+
 void CallerServer::close() {
     boost::system::error_code ec;
     m_acceptor.close(ec);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "include/gateway/Gateway.h"
 
+#include "include/base/Hash.h"
 #include "include/observe/Events.h"
 
 #include <random>
@@ -44,7 +45,8 @@
               [this](const std::string& address) {
                   m_sync.onLinked(address);
                   m_quarantine.onLinked(address);
-              }}),
+              },
+              [this](Tcp::socket socket) { m_callers.takeRelayed(std::move(socket)); }}),
       m_rollouts(io, settings, dialect, m_upstreams, m_rolloutList, m_metrics,
                  {[this] { return !m_sync.following(); },
                   [this](const wire::RolloutReportsT& reports) {
@@ -55,10 +57,12 @@
       m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
              m_mesh),
       m_quarantine(io, m_records, m_mesh, m_log),
-      m_reach(io, m_upstreams, m_metrics),
+      m_reach(io, m_upstreams, m_metrics,
+              [this](const ServiceId& service, bool lost) { onReachChange(service, lost); }),
+      m_relays(settings, m_mesh),
       m_context{io,         settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
                 m_records,  m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
-                m_rollouts, m_reach},
+                m_rollouts, m_reach,   m_relays},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -88,6 +92,23 @@
     return CanAdmit(m_settings.admission, knowledge);
 }
 
+// Upstreams that this box took for unreachable while its own network had failed get requests again.
+void Gateway::onReachChange(const ServiceId& service, bool lost) {
+    std::vector<uint32_t> lostServices;
+    for (const ServiceId& each : m_reach.lost()) {
+        lostServices.push_back(ShortHash(each.value));
+    }
+    m_mesh.announceLostServices(std::move(lostServices));
+    if (lost) {
+        return;
+    }
+    for (const auto& [id, entry] : m_upstreams.table().all()) {
+        if (entry.upstream.service == service) {
+            m_records.endUnreachable(id);
+        }
+    }
+}
+
 StorePacingInputs Gateway::pacingFacts() const {
     return {m_sync.watchesForOthers(), m_sync.reliesOnPeers(), knowsEnough(), m_mesh.boxesKnown()};
 }
--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -68,7 +68,8 @@
     // On changes, digests are sent as often as the budget of control bytes allows.
     const PeerCounts::Counts counts = m_records.ownLoads();
     const Millis renewal = std::max(kDigestRenewalPeriod, m_digestPeriod);
-    const bool changed = counts != m_announcedLoads || m_records.hasAnnouncements();
+    const bool changed =
+        counts != m_announcedLoads || m_records.hasAnnouncements() || m_lostServicesChanged;
     if (now - m_lastDigestAt >= (changed ? m_digestPeriod : renewal)) {
         wire::DigestT digest = makeDigest(counts);
         AddSightings(boxes.takeSightings(now), digest);
@@ -150,6 +151,11 @@
     return outgoing;
 }
 
+void LoadExchange::setLostServices(std::vector<uint32_t> services) {
+    m_lostServices = std::move(services);
+    m_lostServicesChanged = true;
+}
+
 void LoadExchange::setLoadReportSupport(const std::string& address, bool takesLoadReports) {
     if (takesLoadReports) {
         m_withoutLoadReports.erase(address);
@@ -161,6 +167,8 @@
 wire::DigestT LoadExchange::makeDigest(const PeerCounts::Counts& counts) {
     wire::DigestT digest;
     digest.sequence = ++m_sequence;
+    digest.lost_services = m_lostServices;
+    m_lostServicesChanged = false;
     for (const auto& [upstream, count] : counts) {
         const auto load = static_cast<uint16_t>(std::min(count, kMaxCount));
         digest.loads.emplace_back(upstream, load, false);
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 // All times in milliseconds.
-constexpr Millis kDialPeriod = 500;  // Links to a box that comes back well within 3 s.
+constexpr Millis kDialPeriod = 500;    // Links to a box that comes back well within 3 s.
+constexpr Millis kRelayTimeout = 150;  // Each for opening a relay connection and its greeting.
 // Maximum number of boxes that this box dials; as many dial it. With the resulting 32 links, the
 // digests of a site of 85 boxes fit into the budget of control bytes once a second.
 constexpr size_t kMaxDialed = 16;
@@ -58,6 +59,7 @@
     hello.role = wire::LinkRole::Router;
     hello.takes_load_reports = true;
     hello.takes_crash_reports = true;
+    hello.takes_relayed_requests = true;
     hello.build = BuildId();
     return hello;
 }
@@ -65,11 +67,42 @@
 Task<> PeerMesh::acceptLink(Tcp::socket socket) {
     wire::HelloT greeting = hello();
     auto link = co_await FrameLink::Accept(std::move(socket), std::move(greeting));
-    if (link.has_value()) {
+    if (link.has_error()) {
+        co_return;
+    }
+    if (link.value()->peer().role == wire::LinkRole::Relay) {
+        m_sink.onRelayConnection(link.value()->releaseSocket());
+    } else {
         addLink(link.value(), false);
     }
 }
 
+std::vector<RelayBox> PeerMesh::relayBoxes() const {
+    std::vector<RelayBox> boxes;
+    for (const auto& [address, peer] : m_links) {
+        const wire::HelloT& hello = peer.link->peer();
+        if (hello.takes_relayed_requests) {
+            boxes.push_back({address, hello.zone, peer.lostServices});
+        }
+    }
+    return boxes;
+}
+
+Task<Result<Tcp::socket>> PeerMesh::openRelay(std::string address) const {
+    const auto endpoint = ParseEndpoint(address);
+    if (endpoint.has_error()) {
+        co_return endpoint.error();
+    }
+    const Endpoint& peer = endpoint.value();
+    wire::HelloT greeting = hello();
+    greeting.role = wire::LinkRole::Relay;
+    auto link = co_await FrameLink::Connect(peer, std::move(greeting), kRelayTimeout);
+    if (link.has_error()) {
+        co_return link.error();
+    }
+    co_return link.value()->releaseSocket();
+}
+
 Task<> PeerMesh::dialPeers() {
     while (true) {
         const MonoTime now = ReadClocks().mono;
@@ -269,6 +302,7 @@
     m_exchange.handleMessage(address, body, now);
     if (const auto* digest = body.AsDigest()) {
         it->second.digestPeriod = static_cast<Millis>(digest->next_ms);
+        it->second.lostServices = digest->lost_services;
         LoadExchange::ApplySightings(*m_boxes, *digest, now);
     } else if (const auto* list = body.AsBoxList()) {
         applyBoxList(it->second, *list);
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -1,6 +1,7 @@
 #include "include/gateway/PlaceAttempt.h"
 
 #include "include/base/Hash.h"
+#include "include/gateway/AllowedZones.h"
 #include "include/placement/LoadEstimate.h"
 
 #include <algorithm>
@@ -43,21 +44,10 @@
     return std::min(records.cold().waitBeforeSend(incarnation, spacing, now), *coldLeft);
 }
 
-// Both the route's and the team's homes bind. A zone whose region is not known is in none of them.
 bool IsInHomes(const Upstream& upstream, const GatewaySettings& settings,
                const PlacementQuestion& question) {
-    const auto isUnbound = [](const AllowedRegions* homes) {
-        return homes == nullptr || homes->empty();
-    };
-    if (isUnbound(question.routeAllowedRegions) && isUnbound(question.teamAllowedRegions)) {
-        return true;
-    }
-    const auto region = settings.regions.find(upstream.zone.value);
-    const std::string name = region == settings.regions.end() ? std::string() : region->second;
-    const auto allows = [&](const AllowedRegions* homes) {
-        return homes == nullptr || AllowsRegion(*homes, name);
-    };
-    return allows(question.routeAllowedRegions) && allows(question.teamAllowedRegions);
+    return IsZoneAllowed(settings, {question.routeAllowedRegions, question.teamAllowedRegions},
+                         upstream.zone.value);
 }
 
 ExclusionInputs StandingOf(const Upstream& upstream, const PlacementKnowledge& knowledge,
--- a/src/gateway/ReachMonitor.cpp
+++ b/src/gateway/ReachMonitor.cpp
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-ReachMonitor::ReachMonitor(asio::io_context& io, const UpstreamList& upstreams, Metrics& metrics)
-    : m_io(io), m_upstreams(upstreams), m_metrics(metrics) {}
+ReachMonitor::ReachMonitor(asio::io_context& io, const UpstreamList& upstreams, Metrics& metrics,
+                           std::function<void(const ServiceId&, bool lost)> onChange)
+    : m_io(io), m_upstreams(upstreams), m_metrics(metrics), m_onChange(std::move(onChange)) {}
 
 void ReachMonitor::noteConnected(const Upstream& upstream) {
     endLoss(upstream.service);
@@ -32,14 +33,14 @@
     if (upstreams == 0 || !m_reach.noteUnreached(service, upstream.id, upstreams, now)) {
         return;
     }
-    log(service, true, m_reach.unreached(service));
+    noteChange(service, true, m_reach.unreached(service));
     std::string name = service.value;
     Spawn(m_io.get_executor(), probeWhileLost(std::move(name)));
 }
 
 void ReachMonitor::endLoss(const ServiceId& service) {
     if (m_reach.noteConnected(service)) {
-        log(service, false, 0);
+        noteChange(service, false, 0);
     }
 }
 
@@ -80,11 +81,12 @@
     return address;
 }
 
-void ReachMonitor::log(const ServiceId& service, bool lost, size_t unreached) {
+void ReachMonitor::noteChange(const ServiceId& service, bool lost, size_t unreached) {
     logEvent(Event::kServiceReach, {{"service", service.value},
                                     {"state", lost ? "lost" : "reached"},
                                     {"unreached", std::to_string(unreached)}});
     m_metrics.set("onyx_services_lost", {}, static_cast<double>(m_reach.lost().size()));
+    m_onChange(service, lost);
 }
 
 }  // namespace onyx
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -3,12 +3,31 @@
 #include "include/base/Hash.h"
 #include "include/base/HttpStatus.h"
 #include "include/gateway/HttpText.h"
+#include "include/gateway/RelayHeaders.h"
 #include "include/health/RequestFingerprint.h"
 
+#include <charconv>
+
 namespace onyx {
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// Attempts in a row that cannot connect, after which another box is asked: the next upstream may be
+// out of reach as well.
+constexpr int kMaxUnreached = 2;
+constexpr size_t kMaxRelayBoxes = 3;  // Boxes that are asked to handle one request.
+
+// The version of the configuration on which the relaying box decided; 0 if it cannot be read.
+uint64_t RelayedVersion(std::string_view text) {
+    uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+}  // namespace
+
 RequestHandler::RequestHandler(RequestContext& context, CallerConnection& caller,
                                ReadRequest request)
     : m_context(context),
@@ -20,9 +39,15 @@
 Task<AfterAnswer> RequestHandler::run() {
     m_context.lifecycle.recordRequestStart();
     std::optional<Refusal> refusal = readHead();
+    if (!refusal) {
+        refusal = checkRelayed();
+    }
     if (!refusal) {
         refusal = admit();
     }
+    if (!refusal) {
+        refusal = checkRelayedService();
+    }
     AfterAnswer after = AfterAnswer::kClose;
     if (refusal) {
         after = co_await refuse(*refusal);
@@ -46,6 +71,25 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> RequestHandler::checkRelayed() {
+    if (!m_caller.isFromBox()) {
+        return std::nullopt;
+    }
+    const uint64_t version = RelayedVersion(m_message[kRelayHeader]);
+    m_message.erase(kRelayHeader);
+    const ConfigurationState& configuration = m_context.configuration;
+    const bool behind = !configuration.catalog() || configuration.version() < version;
+    if (behind || m_context.lifecycle.draining() || m_context.relays.isFull()) {
+        return MakeRefusal(RefusalReason::kNoUpstream);
+    }
+    return std::nullopt;
+}
+
+std::optional<Refusal> RequestHandler::checkRelayedService() const {
+    const bool lost = m_caller.isFromBox() && m_context.reach.isLost(m_admission.service);
+    return lost ? std::optional<Refusal>(MakeRefusal(RefusalReason::kNoUpstream)) : std::nullopt;
+}
+
 // Asked again before each further attempt, so that a request that waited is not handled by what is
 // no longer in force. A refusal leaves the admission before it as it is.
 std::optional<Refusal> RequestHandler::admit() {
@@ -87,6 +131,20 @@
 
 Task<AfterAnswer> RequestHandler::serve() {
     while (true) {
+        if (shouldRelay()) {
+            const std::optional<Verdict> relayed = co_await relay();
+            if (m_caller.gone()) {
+                co_return abandon(kCallerGone);
+            }
+            if (relayed) {
+                co_return co_await conclude(*relayed);
+            }
+            if (m_unreached > 0 && m_context.reach.isLost(m_admission.service)) {
+                const Verdict unserved =
+                    m_attempts.stepWithoutRetry(m_relay->headSent(), StepReason::kNoUpstream);
+                co_return co_await conclude(unserved);
+            }
+        }
         const auto next = place();
         if (!next) {
             const Verdict verdict =
@@ -113,6 +171,56 @@
     }
 }
 
+// Only a request that reached no upstream is relayed, so that its runs and retries are all counted
+// by the other box. One that another box relays is not passed on, so that it cannot go round.
+bool RequestHandler::shouldRelay() const {
+    const bool cutOff = m_unreached >= kMaxUnreached || m_context.reach.isLost(m_admission.service);
+    return cutOff && !m_sent && !m_caller.isFromBox();
+}
+
+Task<std::optional<Verdict>> RequestHandler::relay() {
+    const RegionRule regions{&m_admission.route->allowedRegions, m_admission.teamAllowedRegions};
+    while (m_triedBoxes.size() < kMaxRelayBoxes) {
+        const RelayQuestion question{m_admission.service, regions, m_triedBoxes, m_draw};
+        const auto box = m_context.relays.choose(question, ReadClocks().mono);
+        if (!box) {
+            break;
+        }
+        m_triedBoxes.insert(*box);
+        const AttemptRequest request{m_message, m_facts, m_admission, m_attempts, !m_sent};
+        RelayAttempt attempt(m_context, m_caller, *m_relay, request, *box);
+        const RelayReport report = co_await attempt.run();
+        m_context.log.relayed(m_facts.id, report);
+        if (m_caller.gone()) {
+            break;
+        }
+        if (!report.unavailable) {
+            co_return judgeRelayed(report);
+        }
+        m_context.relays.noteUnavailable(*box, m_admission.service, ReadClocks().mono);
+    }
+    co_return std::nullopt;
+}
+
+Verdict RequestHandler::judgeRelayed(const RelayReport& report) {
+    m_sent = true;
+    m_upstream = report.box;
+    m_timedOut = report.timedOut;
+    m_relayRetryAfter = report.retryAfter;
+    const AttemptFacts facts{false, m_relay->headSent()};
+    return m_attempts.ended(report.end, facts, [] { return false; });
+}
+
+void RequestHandler::markNotRun(HttpFields& fields, const Refusal& refusal) const {
+    if (!m_caller.isFromBox() || m_attempts.mayHaveRun()) {
+        return;
+    }
+    const bool elsewhere = refusal.status == HttpStatus::kUnavailable &&
+                           refusal.reason != RefusalReason::kQuarantined &&
+                           m_attempts.attempts() == 0;
+    fields.set(kRelayHeader, elsewhere ? kRelayUnavailable : kRelayNotRun);
+}
+
 // A first attempt may go to a version that is on trial; where that one has no upstream that may be
 // chosen, and for a retry, the version in service gets the request.
 std::optional<AttemptPlace> RequestHandler::place() {
@@ -160,6 +268,7 @@
     m_sent = m_sent || attempt.sent();
     m_timedOut = report.timedOut;
     m_tried.insert(place.upstream.id);
+    m_unreached = report.connection.connectError.empty() ? 0 : m_unreached + 1;
     if (report.upstreamEnded) {
         report.fingerprint = fingerprint();
         noteBroken(place.upstream, report);
@@ -222,6 +331,7 @@
     Refusal refusal = MakeRefusal(notRun ? RefusalReason::kNoUpstream : failed);
     if (notRun) {
         noteLeftOut(refusal);
+        refusal.retryAfter = m_relayRetryAfter ? m_relayRetryAfter : refusal.retryAfter;
     }
     co_return co_await refuse(refusal);
 }
@@ -266,6 +376,7 @@
         const auto [name, value] = m_context.dialect.retryAfter(*refusal.retryAfter);
         fields.set(name, value);
     }
+    markNotRun(fields, refusal);
     const bool close = afterAnswer() == AfterAnswer::kClose;
     std::string text = RefusalText(refusal.status, refusal.text, fields, close);
     const bool written = co_await m_caller.write(std::move(text));
@@ -292,6 +403,7 @@
     report.mayHaveRun = m_attempts.mayHaveRun();
     report.status = m_relay ? m_relay->status() : 0;
     report.took = ReadClocks().mono - m_arrived;
+    report.forBox = m_caller.isFromBox();
     if (m_relay && m_relay->firstByteAt()) {
         report.firstByte = *m_relay->firstByteAt() - m_arrived;
     }
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -1,6 +1,7 @@
 #include "include/gateway/RequestLog.h"
 
 #include "include/base/HttpStatus.h"
+#include "include/gateway/RelayHeaders.h"
 #include "include/health/RequestFingerprint.h"
 #include "include/observe/Events.h"
 
@@ -62,6 +63,16 @@
     m_metrics.count("onyx_sends_total", {{"service", service.value}});
 }
 
+void RequestLog::relayed(const std::string& request, const RelayReport& report) {
+    const std::string end(report.unavailable ? kRelayUnavailable : AttemptEndName(report.end));
+    m_metrics.count("onyx_requests_relayed_total", {{"end", end}});
+    logEvent(Event::kRequestRelayed, {{"request", request},
+                                      {"box", report.box},
+                                      {"end", end},
+                                      {"timed_out", YesNo(report.timedOut)},
+                                      {"took_ms", std::to_string(report.took)}});
+}
+
 void RequestLog::headUnreadable(const std::string& request, const std::string& upstream,
                                 const std::string& problem) {
     logEvent(Event::kAnswerHeadBad,
@@ -142,7 +153,11 @@
 }
 
 // What is not known of a request that was not admitted counts as "unknown".
-void RequestLog::countForBudget(const Admission* admission, bool good) {
+void RequestLog::countForBudget(const RequestReport& request, const Admission* admission,
+                                bool good) {
+    if (request.forBox) {
+        return;
+    }
     const std::string unknown = "unknown";
     const MetricLabels labels = {
         {"service", admission ? admission->service.value : unknown},
@@ -157,6 +172,7 @@
     logEvent(Event::kRequestRefused, {{"request", request.id},
                                       {"status", std::to_string(refusal.status)},
                                       {"reason", refusal.text},
+                                      {"for_box", YesNo(request.forBox)},
                                       {"upstream", request.upstream},
                                       {"may_have_run", YesNo(request.mayHaveRun)},
                                       {"configuration", NumberOr(configuration.version, "none")},
@@ -165,7 +181,7 @@
                     {{"status", std::to_string(refusal.status)}, {"why", refusal.text}});
     // What callers did wrong is no failure of the service.
     if (refusal.status >= HttpStatus::kFirstServerError) {
-        countForBudget(admission, false);
+        countForBudget(request, admission, false);
     }
 }
 
@@ -176,7 +192,7 @@
         const bool inTime = request.firstByte && *request.firstByte <= route.objective;
         const bool answered =
             outcome == kAnswered && request.status < HttpStatus::kFirstServerError;
-        countForBudget(&admission, answered && inTime);
+        countForBudget(request, &admission, answered && inTime);
     }
     m_metrics.count("onyx_requests_total", {{"outcome", std::string(outcome)}});
     m_metrics.observe("onyx_request_ms", {{"route", route.name}},
@@ -185,6 +201,7 @@
                                    {"route", route.name},
                                    {"team", admission.team.value},
                                    {"outcome", std::string(outcome)},
+                                   {"for_box", YesNo(request.forBox)},
                                    {"status", std::to_string(request.status)},
                                    {"upstream", request.upstream},
                                    {"sends", std::to_string(request.attempts)},
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/gateway/UpstreamExchange.cpp
@@ -59,6 +59,13 @@
     co_return prepareSocket();
 }
 
+Result<bool> UpstreamExchange::adopt(Tcp::socket socket, const ConnectionBounds& bounds) {
+    m_bounds = bounds;
+    m_connection = m_context.records.pool().create();
+    m_connection->stream.socket() = std::move(socket);
+    return prepareSocket();
+}
+
 bool UpstreamExchange::takeKept(Millis maxIdle) {
     const MonoTime now = ReadClocks().mono;
     m_connection = m_context.records.pool().take(m_upstream.id, maxIdle, now);
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -44,9 +44,18 @@
         return false;
     }
     eject(record, now);
+    record.ejectedAsUnreachable = signal == HealthSignal::kUnreachable;
     return true;
 }
 
+void UpstreamHealth::endUnreachable(const std::string& upstream) {
+    const auto it = m_records.find(upstream);
+    if (it != m_records.end() && it->second.ejectedAsUnreachable) {
+        it->second.ejectedUntil = {};
+        it->second.lastEjection = 0;
+    }
+}
+
 void UpstreamHealth::noteAnswer(Record& record, MonoTime now) {
     record.answered += 1;
     record.consecutiveSilent = 0;
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -57,6 +57,7 @@
     {Event::kAnswerHeadBad, "answer-head-bad"},
     {Event::kRequestQuarantined, "request-quarantined"},
     {Event::kAllLeftOut, "all-upstreams-left-out"},
+    {Event::kRequestRelayed, "request-relayed"},
     {Event::kCallerBad, "caller-bad"},
     {Event::kUpstreamChanged, "upstream-changed"},
     {Event::kUpstreamEjected, "upstream-ejected"},
--- a/src/wire/FrameLink.cpp
+++ b/src/wire/FrameLink.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <variant>
 
@@ -31,24 +32,26 @@
     m_wake.expires_at(asio::steady_timer::time_point::max());
 }
 
-Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Connect(Endpoint peer, wire::HelloT hello) {
+Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Connect(Endpoint peer, wire::HelloT hello,
+                                                            Millis timeout) {
     using namespace asio::experimental::awaitable_operators;
     Tcp::socket socket(co_await asio::this_coro::executor);
     error_code ec;
     const auto raced =
         co_await (socket.async_connect(peer, asio::redirect_error(asio::use_awaitable, ec)) ||
-                  SleepFor(kConnectTimeout));
+                  SleepFor(std::min(kConnectTimeout, timeout)));
     if (raced.index() == 1 || ec) {
         const std::string why = ec ? ec.message() : "no answer";
         co_return Error{ErrorCode::kUnavailable, "peer.connect", EndpointText(peer), why};
     }
-    co_return co_await Accept(std::move(socket), std::move(hello));
+    co_return co_await Accept(std::move(socket), std::move(hello), timeout);
 }
 
-Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Accept(Tcp::socket socket, wire::HelloT hello) {
+Task<Result<std::shared_ptr<FrameLink>>> FrameLink::Accept(Tcp::socket socket, wire::HelloT hello,
+                                                           Millis timeout) {
     using namespace asio::experimental::awaitable_operators;
     std::shared_ptr<FrameLink> link(new FrameLink(std::move(socket)));
-    auto raced = co_await (link->greet(std::move(hello)) || SleepFor(kGreetingTimeout));
+    auto raced = co_await (link->greet(std::move(hello)) || SleepFor(timeout));
     if (raced.index() == 1) {
         co_return Error{ErrorCode::kTimeout, "peer.greeting", link->m_address, "no greeting"};
     }
