Take a refused port for a crash only while another upstream takes connections

Cause: the probe that tells a crash from a lost connection asks the upstream's port; where the box's own network refuses, every port does. Now up to three other upstreams of the service are asked too; where none of them takes a connection, nothing is known of the first. A start seen in the list counts as before.

--- a/include/gateway/QuarantineController.h
+++ b/include/gateway/QuarantineController.h
@@ -22,8 +22,8 @@
 class QuarantineController {
 public:
     // Preconditions: all arguments outlive the controller.
-    QuarantineController(asio::io_context& io, const UpstreamRecords& records, PeerMesh& mesh,
-                         RequestLog& log);
+    QuarantineController(asio::io_context& io, const UpstreamRecords& records,
+                         const UpstreamList& upstreams, PeerMesh& mesh, RequestLog& log);
 
     // Returns the remaining quarantine of the request in milliseconds, or nothing if the request is
     // not in quarantine. Preconditions: none.
--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -17,6 +17,8 @@
 // Wait before the first probe: an ending process may close its connections before its port.
 constexpr Millis kPortCloseDelay = 30;
 constexpr Millis kConnectTimeout = 300;  // Of one probe.
+// Other upstreams that are asked whether the network is up.
+constexpr size_t kMaxOthers = 3;
 constexpr int kMaxProbes = 3;  // A probe that times out is repeated: its packets may be lost.
 
 }  // namespace
@@ -34,27 +36,62 @@
     const Upstream upstream = m_pendingProbes.at(upstreamId).upstream;
     std::string address = upstream.address;
     const bool refused = co_await refusesConnection(std::move(address));
+    std::string id = upstreamId;
+    const bool crashed = refused && co_await isNetworkUp(std::move(id));
     const bool restarted = m_records.isSuperseded(upstream.incarnation());
     const PendingProbe ended = std::move(m_pendingProbes.at(upstreamId));
     m_pendingProbes.erase(upstreamId);
-    if (refused || restarted) {
+    if (crashed || restarted) {
         m_onCrash(ended.upstream, ended.attempts);
     }
 }
 
-Task<bool> CrashDetector::refusesConnection(std::string address) {
-    const Result<Endpoint> peer = ParseEndpoint(address);
-    if (peer.has_error()) {
-        co_return false;
+// Whether another upstream of the service takes a connection, or there is none that could.
+Task<bool> CrashDetector::isNetworkUp(std::string upstreamId) {
+    const std::vector<std::string> others = otherAddresses(m_pendingProbes.at(upstreamId).upstream);
+    for (const std::string& other : others) {
+        std::string address = other;
+        const beast::error_code ec = co_await connect(std::move(address));
+        if (!ec) {
+            co_return true;
+        }
     }
-    const Endpoint& endpoint = peer.value();
+    co_return others.empty();
+}
+
+std::vector<std::string> CrashDetector::otherAddresses(const Upstream& upstream) {
+    std::vector<std::string> addresses;
+    const uint64_t position = std::uniform_int_distribution<uint64_t>()(m_random);
+    m_upstreams.table().visitRing(upstream.service, position,
+                                  [&](const UpstreamTable::Entry& entry) {
+                                      if (entry.upstream.id != upstream.id) {
+                                          addresses.push_back(entry.upstream.address);
+                                      }
+                                      return addresses.size() < kMaxOthers;
+                                  });
+    return addresses;
+}
+
+Task<bool> CrashDetector::refusesConnection(std::string address) {
     beast::error_code ec = beast::error::timeout;
     for (int i = 0; i < kMaxProbes && ec == beast::error::timeout; ++i) {
-        beast::tcp_stream stream(m_io);
-        stream.expires_after(std::chrono::milliseconds(kConnectTimeout));
-        co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+        std::string target = address;
+        ec = co_await connect(std::move(target));
     }
     co_return ec == asio::error::connection_refused;
 }
 
+Task<beast::error_code> CrashDetector::connect(std::string address) {
+    const Result<Endpoint> peer = ParseEndpoint(address);
+    if (peer.has_error()) {
+        co_return beast::error_code(asio::error::invalid_argument);
+    }
+    const Endpoint& endpoint = peer.value();
+    beast::tcp_stream stream(m_io);
+    stream.expires_after(std::chrono::milliseconds(kConnectTimeout));
+    beast::error_code ec;
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec;
+}
+
 }  // namespace onyx
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -56,7 +56,7 @@
                   }}),
       m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
              m_mesh),
-      m_quarantine(io, m_records, m_mesh, m_log),
+      m_quarantine(io, m_records, m_upstreams, m_mesh, m_log),
       m_reach(io, m_upstreams, m_metrics,
               [this](const ServiceId& service, bool lost) { onReachChange(service, lost); }),
       m_relays(settings, m_mesh),
--- a/src/gateway/QuarantineController.cpp
+++ b/src/gateway/QuarantineController.cpp
@@ -5,11 +5,12 @@
 namespace onyx {
 
 QuarantineController::QuarantineController(asio::io_context& io, const UpstreamRecords& records,
-                                           PeerMesh& mesh, RequestLog& log)
+                                           const UpstreamList& upstreams, PeerMesh& mesh,
+                                           RequestLog& log)
     : m_io(io),
       m_mesh(mesh),
       m_log(log),
-      m_detector(io, records,
+      m_detector(io, records, upstreams,
                  [this](const Upstream& upstream, std::span<const InterruptedAttempt> attempts) {
                      noteCrash(upstream, attempts);
                  }) {}
