Refuse a request at once when neither this box nor a neighbour can connect

A box that relayed a request, and one that gets it, went on connecting up to four times, a tenth of a second each where connections hang, although the first had no box left to ask and the second has another box behind it. Now the first stops after one attempt while the service is lost, the second after two.

--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -49,6 +49,8 @@
     Verdict judge(AttemptEnd end);
     // Whether another box should handle the request, because this one reaches no upstream.
     bool shouldRelay() const;
+    // Whether the request should be refused without further attempts.
+    bool cannotServe() const;
     // Has another box handle the request; nothing if none took it.
     Task<std::optional<Verdict>> relay();
     Verdict judgeRelayed(const RelayReport& report);
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -139,11 +139,11 @@
             if (relayed) {
                 co_return co_await conclude(*relayed);
             }
-            if (m_unreached > 0 && m_context.reach.isLost(m_admission.service)) {
-                const Verdict unserved =
-                    m_attempts.stepWithoutRetry(m_relay->headSent(), StepReason::kNoUpstream);
-                co_return co_await conclude(unserved);
-            }
+        }
+        if (cannotServe()) {
+            const Verdict unserved =
+                m_attempts.stepWithoutRetry(m_relay->headSent(), StepReason::kNoUpstream);
+            co_return co_await conclude(unserved);
         }
         const auto next = place();
         if (!next) {
@@ -178,6 +178,16 @@
     return cutOff && !m_sent && !m_caller.isFromBox();
 }
 
+// Further connects would only delay the refusal: no neighbour took the request, or the box that
+// relayed it has others to ask.
+bool RequestHandler::cannotServe() const {
+    if (m_sent || m_unreached == 0) {
+        return false;
+    }
+    return m_context.reach.isLost(m_admission.service) ||
+           (m_caller.isFromBox() && m_unreached >= kMaxUnreached);
+}
+
 Task<std::optional<Verdict>> RequestHandler::relay() {
     const RegionRule regions{&m_admission.route->allowedRegions, m_admission.teamAllowedRegions};
     while (m_triedBoxes.size() < kMaxRelayBoxes) {
