Heed what brittle upstreams say of the requests that they can turn away

Found by looking for the cause of the partitioned boxes elsewhere: what an upstream says of itself is not heard.

Now a box that had a request declined by a brittle upstream sends it nothing for twice boxes / N seconds, so that all boxes together cause at most half of what it bears; a brittle upstream whose slots are all taken is left out, and callers are refused at once where none is left.

--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -56,6 +56,8 @@
     std::optional<int> workTimePercent;
     // It wants no requests from this box for so long.
     std::optional<Millis> backoff;
+    // It is brittle: it ends if it has to turn away more requests than this in a second.
+    std::optional<int> bearableRefusals;
     std::optional<Millis> coldLeft;  // How much longer it is cold, in milliseconds; 0: it is not.
     std::string unreadable;          // Names a header that cannot be read; empty: none.
     std::optional<Millis> keepAlive;
--- a/include/gateway/Attempt.h
+++ b/include/gateway/Attempt.h
@@ -44,6 +44,7 @@
     MonoTime firstByteDeadline() const;
     MonoTime nextPieceDeadline() const;
     void learnFromHead();
+    std::optional<Millis> backoffAfter(const UpstreamFacts& facts) const;
     bool isOfPast() const;
     std::optional<Millis> timeToFirstByte(AttemptEnd end, Millis took) const;
     void noteHealth(AttemptEnd end);
--- a/include/gateway/UpstreamRecords.h
+++ b/include/gateway/UpstreamRecords.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "include/gateway/UpstreamPool.h"
+#include "include/health/BrittleUpstreams.h"
 #include "include/health/ColdUpstreams.h"
 #include "include/health/UpstreamAvoidance.h"
 #include "include/health/UpstreamHealth.h"
@@ -109,6 +110,10 @@
     UpstreamAvoidance& avoidance() { return m_avoidance; }
     const UpstreamAvoidance& avoidance() const { return m_avoidance; }
 
+    // Which upstreams end if they have to turn many requests away. Preconditions: none.
+    BrittleUpstreams& brittle() { return m_brittle; }
+    const BrittleUpstreams& brittle() const { return m_brittle; }
+
     // How long work takes at upstreams right now. Preconditions: none.
     WorkTimes& workTimes() { return m_workTimes; }
     const WorkTimes& workTimes() const { return m_workTimes; }
@@ -195,6 +200,7 @@
 
     UpstreamHealth m_health;
     UpstreamAvoidance m_avoidance;
+    BrittleUpstreams m_brittle;
     ColdUpstreams m_cold;
     ColdShare m_coldShare;
     UpstreamLoads m_loads;
--- a/include/placement/UpstreamExclusion.h
+++ b/include/placement/UpstreamExclusion.h
@@ -24,9 +24,10 @@
     kEvacuated,         // The operators are evacuating its availability zone.
     kVersion,           // Of a version that the request may not be sent to; see VersionRule.
     kBackoff,           // Asked this box to send no requests for a while.
+    kBrittleFull,       // Brittle and fully loaded: it would have to turn the request away.
     kCold,              // Cold, and this box may send it no request now (see ColdShare).
 };
-inline constexpr size_t kExclusionReasonCount = 7;
+inline constexpr size_t kExclusionReasonCount = 8;
 
 // Returns the reason's name as used in logs and metrics. Thread safety: any thread.
 std::string_view ExclusionReasonName(ExclusionReason reason);
@@ -38,6 +39,7 @@
     bool regionNotAllowed = false;   // For the request being placed.
     bool evacuated = false;          // Its zone is being evacuated.
     bool versionNotAllowed = false;  // For the request being placed.
+    bool brittleFull = false;        // Brittle, and all its slots are taken.
     std::optional<Millis> backoff;   // Time left for which it accepts no request, in milliseconds.
     std::optional<Millis>
         coldWait;  // Set if cold: this box's wait before it may send, in ms; 0: none.
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -3,6 +3,8 @@
 #include "include/gateway/HttpText.h"
 #include "include/health/AttemptHealthSignal.h"
 
+#include <algorithm>
+
 namespace onyx {
 
 namespace {
@@ -137,6 +139,19 @@
     return m_context.records.isSuperseded(m_place.upstream.incarnation());
 }
 
+// How long the upstream gets no requests from this box: as long as it asks for, and if it is
+// brittle and has turned this request away, until it can bear to do so again.
+std::optional<Millis> Attempt::backoffAfter(const UpstreamFacts& facts) const {
+    const bool turnedAway = facts.declined && !facts.misdirected;
+    if (!turnedAway) {
+        return facts.backoff;
+    }
+    const size_t boxes = std::max<size_t>(1, m_context.mesh.boxesKnown());
+    const auto pause =
+        m_context.records.brittle().pauseAfterRefusal(m_place.upstream.incarnation(), boxes);
+    return pause ? std::max(*pause, facts.backoff.value_or(0)) : facts.backoff;
+}
+
 void Attempt::learnFromHead() {
     if (isOfPast()) {
         return;
@@ -145,9 +160,10 @@
     const std::string& upstream = m_place.upstream.id;
     const MonoTime now = ReadClocks().mono;
     const Incarnation incarnation = m_place.upstream.incarnation();
-    if (facts.backoff &&
-        m_context.records.avoidance().recordBackoff(incarnation, now + *facts.backoff, now)) {
-        m_context.log.backsOff(upstream, *facts.backoff);
+    m_context.records.brittle().note(incarnation, facts.bearableRefusals);
+    const std::optional<Millis> backoff = backoffAfter(facts);
+    if (backoff && m_context.records.avoidance().recordBackoff(incarnation, now + *backoff, now)) {
+        m_context.log.backsOff(upstream, *backoff);
     }
     if (facts.coldLeft) {
         m_context.records.cold().note(incarnation, *facts.coldLeft, now);
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/gateway/PlaceAttempt.cpp
@@ -50,6 +50,17 @@
                          upstream.zone.value);
 }
 
+// Whether a brittle upstream would have to turn a request away, as far as this box can tell.
+bool IsBrittleFull(const Upstream& upstream, const UpstreamRecords& records, MonoTime now) {
+    if (!records.brittle().hasRecords() || !records.brittle().isBrittle(upstream.incarnation())) {
+        return false;
+    }
+    const UpstreamLoad known = records.load(upstream.id, now);
+    const bool sampled = records.loadsAreSampled();
+    const int counted = sampled ? known.counted : known.exact;
+    return std::max(counted, sampled && known.report ? known.report->load : 0) >= upstream.slots;
+}
+
 ExclusionInputs StandingOf(const Upstream& upstream, const PlacementKnowledge& knowledge,
                            const PlacementQuestion& question, MonoTime now) {
     const UpstreamRecords& records = knowledge.records;
@@ -64,6 +75,7 @@
     inputs.evacuated = knowledge.evacuations.orders().isEvacuated(
         upstream.zone, knowledge.upstreams.age(now), now);
     inputs.versionNotAllowed = !AllowsUpstream(question.versions, upstream);
+    inputs.brittleFull = IsBrittleFull(upstream, records, now);
     inputs.coldWait = ColdWaitFor(upstream, knowledge, question, now);
     return inputs;
 }
--- a/src/placement/UpstreamExclusion.cpp
+++ b/src/placement/UpstreamExclusion.cpp
@@ -19,6 +19,8 @@
             return "version";
         case ExclusionReason::kBackoff:
             return "backoff";
+        case ExclusionReason::kBrittleFull:
+            return "brittle";
         case ExclusionReason::kCold:
             return "cold";
     }
@@ -44,6 +46,9 @@
     if (inputs.backoff) {
         return Exclusion{ExclusionReason::kBackoff, inputs.backoff};
     }
+    if (inputs.brittleFull) {
+        return Exclusion{ExclusionReason::kBrittleFull, std::nullopt};
+    }
     if (inputs.coldWait.value_or(0) > 0) {
         return Exclusion{ExclusionReason::kCold, inputs.coldWait};
     }
