--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -56,7 +56,8 @@
             co_return true;
         }
     }
-    co_return others.empty();
+    const bool isOnlyOne = others.empty();
+    co_return isOnlyOne;
 }
 
 std::vector<std::string> CrashDetector::otherAddresses(const Upstream& upstream) {
--- a/src/standin/FakeLink.cpp
+++ b/src/standin/FakeLink.cpp
@@ -76,8 +76,8 @@
         socket.open(m_endpoint.protocol(), ec);
         // Asio's own connect() waits until the connection is up.
         socket.native_non_blocking(true, ec);
-        ::connect(socket.native_handle(), m_endpoint.data(),
-                  static_cast<socklen_t>(m_endpoint.size()));
+        [[maybe_unused]] const int pending = ::connect(socket.native_handle(), m_endpoint.data(),
+                                                       static_cast<socklen_t>(m_endpoint.size()));
     }
 }
 
