Count the loads that a box announced for four seconds at most on large sites

The announced loads were those of the burst. A digest carries all cache holdings since the last one, 100 to 280 of them after the loss of upstreams; the byte budget then stretches the time to the next digest to 18 to 43 s (trial with sizes logged), and loads count for three of these periods. Ruled out: crashing requests (they begin at 15.2 s), cold upstreams (none of 342 cases), reports of upstreams (225 of 342 had none that is recent).

Now, where only a sample of the boxes announces loads, a digest's loads count for 4 s at most, four times the time of a request; a box that has not announced since is not counted, which the estimate of the mean takes into account. Small sites, where all boxes announce theirs, are as before.

The new test "On a large site loads count for a few seconds" failed before (50 counted after 4.5 s, 0 expected).

--- a/src/gateway/LoadExchange.cpp
+++ b/src/gateway/LoadExchange.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Hash.h"
 #include "include/membership/DigestPeriod.h"
 #include "include/membership/SampleBoxes.h"
+#include "include/placement/LoadEstimate.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +23,9 @@
 // for kMinValidity at least, because one digest may be lost or late.
 constexpr Millis kValidPeriods = 3;
 constexpr Millis kMinValidity = 1200;
+// Upper bound where only some boxes announce their loads to this one: most of the counted requests
+// have ended by then. The box is not counted until its next digest.
+constexpr Millis kMaxSampledValidity = 4 * LoadEstimate::kMeanRequestTime;
 constexpr int kMaxCount = 65535;  // The largest count that a frame can carry.
 // Load reports are sent at most once in this period. They reach most boxes in about four hops, so
 // most boxes soon have the load of a full upstream.
@@ -237,7 +241,10 @@
         }
     }
     const auto period = static_cast<Millis>(digest.next_ms);
-    const Millis validity = std::max(kMinValidity, kValidPeriods * period);
+    Millis validity = std::max(kMinValidity, kValidPeriods * period);
+    if (m_records.loadsAreSampled()) {
+        validity = std::min(validity, kMaxSampledValidity);
+    }
     m_records.recordPeerLoads(from, std::move(counts), now, validity);
 }
 
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -113,6 +113,30 @@
     CHECK_FALSE(wire::HelloT().takes_load_reports);
 }
 
+// Guards against loads of a burst that count long after it: the byte budget of a large site lets a
+// box send a digest with many cache holdings only every 20 s.
+TEST_CASE("On a large site loads count for a few seconds, however rarely a box may announce them") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), {});
+    LoadExchange exchange(records, 4000);
+    BoxDirectory boxes({"10.0.0.1:1", "z"}, 2);
+    for (int i = 2; i < 10; ++i) {
+        boxes.learn({"10.0.0." + std::to_string(i) + ":1", "z"}, {0});
+    }
+    exchange.makeDueFrames(boxes, {}, {1000});
+    REQUIRE(records.loadsAreSampled());
+    wire::DigestT digest;
+    digest.loads.emplace_back(ShortHash("a"), 50, false);
+    digest.next_ms = 20000;
+    wire::BodyUnion body;
+    body.Set(std::move(digest));
+    exchange.handleMessage("10.0.0.2:1", body, {5000});
+    records.expirePeerLoads({8000});
+    CHECK(records.load("a", {8000}).counted == 50);
+    records.expirePeerLoads({9500});
+    CHECK(records.load("a", {9500}).counted == 0);
+}
+
 TEST_CASE("A reported load keeps its age when a box passes it on") {
     asio::io_context io;
     UpstreamRecords records(io.get_executor(), {});
