--- a/include/gateway/RelayController.h
+++ b/include/gateway/RelayController.h
@@ -1,7 +1,8 @@
-// Chooses boxes for requests whose service this box has lost, and opens connections to them.
+// Chooses boxes that handle the requests whose service this box has lost, and bounds how many
+// requests are relayed to other boxes and taken from them.
 //
 // Owns the counts of relayed requests and which boxes could not serve a service lately. Relies on
-// ChooseRelayPeer for the choice and on PeerMesh for the linked boxes and the connections.
+// ChooseRelayPeer for the choice and on PeerMesh for the linked boxes.
 #pragma once
 
 #include "include/gateway/AllowedZones.h"
