Log on what a refusal was decided: version, age, bound, last confirmation

Line 2001 had the version and the age of the configuration as of the moment at which the refusal had been written, which may be later than the decision and name a newer version. It now has both as of the decision, the age up to which the box may deny (bound_ms), and what confirmed the configuration last: the store or the address of a box (confirmed_by) and how long before the decision (confirmed_ms_ago). Line 2205 has the size of the answer, so that a watch that ended without changes can be told from one with some.

--- a/include/freshness/StateAge.h
+++ b/include/freshness/StateAge.h
@@ -47,12 +47,14 @@
 class StateAge {
 public:
     // The state includes everything that was acknowledged before `asOf`. Confirmations that are
-    // older than the newest one have no effect.
+    // older than the newest one have no effect. Returns whether this one is the newest.
     // Preconditions: `asOf` is when a request was sent that has been answered since.
-    void confirm(MonoTime asOf) {
-        if (!m_asOf || *m_asOf < asOf) {
+    bool confirm(MonoTime asOf) {
+        const bool isNewest = !m_asOf || *m_asOf < asOf;
+        if (isNewest) {
             m_asOf = asOf;
         }
+        return isNewest;
     }
 
     // Age of the state, or nothing if there is none. Preconditions: none.
--- a/include/gateway/ConfigurationState.h
+++ b/include/gateway/ConfigurationState.h
@@ -12,9 +12,22 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace onyx {
 
+// The source of confirmations that come from the store itself; others name the box at which they
+// were received.
+inline constexpr std::string_view kStoreSource = "store";
+
+// The configuration that a decision was made on; nothing where there was none.
+struct ConfigurationReport {
+    std::optional<uint64_t> version;
+    std::optional<Millis> age;           // In milliseconds.
+    std::string confirmedBy;             // The source of the newest confirmation.
+    std::optional<Millis> confirmedAgo;  // Time since this box received it, in milliseconds.
+};
+
 // Not thread safe: one io_context.
 class ConfigurationState {
 public:
@@ -27,9 +40,9 @@
     // Preconditions: none.
     void reject(const Error& error);
 
-    // Records that the configuration in force is the newest one from before `asOf`. Preconditions:
-    // as for StateAge::confirm().
-    void confirm(MonoTime asOf) { m_age.confirm(asOf); }
+    // Records that the configuration in force is the newest one from before `asOf`. `source`:
+    // kStoreSource or the address of a box. Preconditions: as for StateAge::confirm().
+    void confirm(MonoTime asOf, std::string_view source, MonoTime now);
 
     // The configuration in force, or null before the first. Preconditions: none.
     const std::shared_ptr<const Catalog>& catalog() const { return m_catalog; }
@@ -40,11 +53,15 @@
     // The age of the configuration in milliseconds, or nothing before the first confirmation.
     // Preconditions: none.
     std::optional<Millis> age(MonoTime now) const { return m_age.age(now); }
+    // What a decision that is made now is made on. Preconditions: none.
+    ConfigurationReport report(MonoTime now) const;
 
 private:
     std::shared_ptr<const Catalog> m_catalog;
     std::string m_text;
     StateAge m_age;
+    std::string m_confirmedBy;
+    MonoTime m_confirmedAt;
 };
 
 }  // namespace onyx
--- a/include/gateway/PeerSync.h
+++ b/include/gateway/PeerSync.h
@@ -26,6 +26,7 @@
 // The configuration and upstreams in the reply of another box, and the times as of which they are
 // current on this box.
 struct PeerUpdate {
+    std::string from;  // The address of the other box.
     // The text of the configuration. Empty if the reply has none or it is no newer than this box's.
     std::string configuration;
     uint64_t version = 0;  // Version of the other box's configuration.
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -74,6 +74,7 @@
     uint64_t m_draw;  // A random number of this request's own.
     CallerFacts m_facts;
     Admission m_admission;
+    std::optional<ConfigurationReport> m_decidedOn;  // At the last admission or its refusal.
     RequestAttempts m_attempts{AttemptRules{}};
     std::optional<AnswerRelay> m_relay;       // Once the head is read.
     bool m_sent = false;                      // Any attempt went out.
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -7,6 +7,7 @@
 
 #include "include/admission/Admission.h"
 #include "include/dialect/Dialect.h"
+#include "include/gateway/ConfigurationState.h"
 #include "include/gateway/ConnectionReport.h"
 #include "include/gateway/CrashDetector.h"
 #include "include/gateway/PlaceAttempt.h"
@@ -56,12 +57,6 @@
     std::optional<Millis> firstByte;  // After the request came; nothing: the caller got none.
 };
 
-// The configuration that a decision was made on; nothing where there was none.
-struct ConfigurationReport {
-    std::optional<uint64_t> version;
-    std::optional<Millis> age;
-};
-
 // How a request that was not refused ended, as it stands in the log.
 inline constexpr std::string_view kAnswered = "answered";
 inline constexpr std::string_view kStreamBroken = "stream-broken";
@@ -123,9 +118,10 @@
     void quarantineSize(size_t requests, size_t waiting);
 
     // This box answered by itself. `admission`: null if the request was not admitted.
-    // Preconditions: none.
+    // `configuration`: as of the decision. `bound`: the age up to which the box may say with it
+    // that a route or a credential does not exist, in milliseconds. Preconditions: none.
     void refused(const RequestReport& request, const Admission* admission, const Refusal& refusal,
-                 const ConfigurationReport& configuration);
+                 const ConfigurationReport& configuration, Millis bound);
 
     // The request was answered, or its caller left. Preconditions: none.
     void done(const RequestReport& request, const Admission& admission, std::string_view outcome);
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -52,8 +52,9 @@
 struct StoreCall {
     StoreCallCause cause = StoreCallCause::kStart;
     std::string target;
-    std::string end;  // The status, or the error.
-    Millis took = 0;  // In milliseconds.
+    std::string end;   // The status, or the error.
+    Millis took = 0;   // In milliseconds.
+    size_t bytes = 0;  // Of the answer's body.
 };
 
 // What the store answered: a list, or changes of one.
--- a/src/gateway/ConfigurationState.cpp
+++ b/src/gateway/ConfigurationState.cpp
@@ -23,6 +23,26 @@
                                       {"routes", std::to_string(m_catalog->routeCount())}});
 }
 
+void ConfigurationState::confirm(MonoTime asOf, std::string_view source, MonoTime now) {
+    if (m_age.confirm(asOf)) {
+        m_confirmedBy = source;
+        m_confirmedAt = now;
+    }
+}
+
+ConfigurationReport ConfigurationState::report(MonoTime now) const {
+    ConfigurationReport report;
+    if (m_catalog) {
+        report.version = version();
+    }
+    report.age = age(now);
+    if (report.age) {
+        report.confirmedBy = m_confirmedBy;
+        report.confirmedAgo = now - m_confirmedAt;
+    }
+    return report;
+}
+
 void ConfigurationState::reject(const Error& error) {
     logEvent(Event::kConfigCorrupt, {{"why", error.text()}});
 }
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -265,7 +265,7 @@
     }
     const auto asOf = m_peerQueries.stateAsOf(reply.round, reply.age_ms);
     if (asOf) {
-        apply({reply.content, reply.revision, *asOf, ReadUpstreamChanges(reply),
+        apply({from, reply.content, reply.revision, *asOf, ReadUpstreamChanges(reply),
                reply.upstreams_revision,
                m_peerQueries.stateAsOf(reply.round, reply.upstreams_age_ms)});
     }
@@ -294,7 +294,7 @@
         }
     }
     if (m_configuration.catalog() && m_configuration.version() >= update.version) {
-        m_configuration.confirm(update.configurationAsOf);
+        m_configuration.confirm(update.configurationAsOf, update.from, ReadClocks().mono);
     }
     // Changes from a box with an older revision than this box's are ignored.
     const UpstreamTable& table = m_upstreams.table();
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -99,6 +99,7 @@
         m_facts.clientTimeout,        m_arrived,          m_draw};
     const AdmissionState knowledge =
         KnowledgeOf(m_context.configuration, m_context.upstreams, m_context.lifecycle, now);
+    m_decidedOn = m_context.configuration.report(now);
     auto decided = Admit(m_context.settings.admission, knowledge, request);
     if (auto* refusal = std::get_if<Refusal>(&decided)) {
         return std::move(*refusal);
@@ -390,13 +391,10 @@
     const bool close = afterAnswer() == AfterAnswer::kClose;
     std::string text = RefusalText(refusal.status, refusal.text, fields, close);
     const bool written = co_await m_caller.write(std::move(text));
-    const ConfigurationState& configuration = m_context.configuration;
-    ConfigurationReport decidedOn{std::nullopt, configuration.age(ReadClocks().mono)};
-    if (configuration.catalog()) {
-        decidedOn.version = configuration.version();
-    }
     const Admission* admission = m_admission.route != nullptr ? &m_admission : nullptr;
-    m_context.log.refused(report(), admission, refusal, decidedOn);
+    m_context.log.refused(report(), admission, refusal,
+                          m_decidedOn.value_or(m_context.configuration.report(ReadClocks().mono)),
+                          m_context.settings.admission.freshLimit);
     co_return written ? afterAnswer() : AfterAnswer::kAborted;
 }
 
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -168,15 +168,20 @@
 }
 
 void RequestLog::refused(const RequestReport& request, const Admission* admission,
-                         const Refusal& refusal, const ConfigurationReport& configuration) {
-    logEvent(Event::kRequestRefused, {{"request", request.id},
-                                      {"status", std::to_string(refusal.status)},
-                                      {"reason", refusal.text},
-                                      {"for_box", YesNo(request.forBox)},
-                                      {"upstream", request.upstream},
-                                      {"may_have_run", YesNo(request.mayHaveRun)},
-                                      {"configuration", NumberOr(configuration.version, "none")},
-                                      {"knowledge_age_ms", NumberOr(configuration.age, "none")}});
+                         const Refusal& refusal, const ConfigurationReport& configuration,
+                         Millis bound) {
+    logEvent(Event::kRequestRefused,
+             {{"request", request.id},
+              {"status", std::to_string(refusal.status)},
+              {"reason", refusal.text},
+              {"for_box", YesNo(request.forBox)},
+              {"upstream", request.upstream},
+              {"may_have_run", YesNo(request.mayHaveRun)},
+              {"configuration", NumberOr(configuration.version, "none")},
+              {"knowledge_age_ms", NumberOr(configuration.age, "none")},
+              {"bound_ms", std::to_string(bound)},
+              {"confirmed_by", configuration.confirmedBy},
+              {"confirmed_ms_ago", NumberOr(configuration.confirmedAgo, "never")}});
     m_metrics.count("onyx_refusals_total",
                     {{"status", std::to_string(refusal.status)}, {"why", refusal.text}});
     // What callers did wrong is no failure of the service.
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -136,6 +136,7 @@
                                  {"cause", cause},
                                  {"target", call.target},
                                  {"end", call.end},
+                                 {"bytes", std::to_string(call.bytes)},
                                  {"took_ms", std::to_string(call.took)}});
 }
 
@@ -171,7 +172,7 @@
         }
     }
     if (update.asOf) {
-        m_configurationState.confirm(*update.asOf);
+        m_configurationState.confirm(*update.asOf, kStoreSource, ReadClocks().mono);
     }
 }
 
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -287,6 +287,7 @@
     StoreCall call{m_cause, std::move(target)};
     Result<Answer> answer = co_await exchangeOnce(call.target, timeout);
     call.took = ReadClocks().mono - sent;
+    call.bytes = answer.has_value() ? answer.value().body.size() : 0;
     call.end = answer.has_error() ? answer.error().text() : std::to_string(answer.value().status);
     m_sink.onCall(call);
     co_return answer;
--- a/tests/ConfigurationStateTest.cpp
+++ b/tests/ConfigurationStateTest.cpp
@@ -36,6 +36,21 @@
     state.reject(Error{ErrorCode::kBadInput, "configuration", "", "not JSON"});
     CHECK(state.version() == 4);
     CHECK_FALSE(state.age({100}).has_value());
-    state.confirm({50});
+    state.confirm({50}, kStoreSource, {60});
     CHECK(state.age({100}) == Millis{50});
 }
+
+TEST_CASE("What a decision is made on names the version, its age and what confirmed it last") {
+    ConfigurationState state;
+    CHECK_FALSE(state.report({10}).version.has_value());
+    CHECK_FALSE(state.report({10}).confirmedAgo.has_value());
+    state.apply(Version(4));
+    state.confirm({50}, kStoreSource, {60});
+    state.confirm({90}, "10.0.0.7:1", {95});
+    state.confirm({70}, kStoreSource, {99});  // Older than what is known already.
+    const ConfigurationReport report = state.report({100});
+    CHECK(report.version == 4);
+    CHECK(report.age == Millis{10});
+    CHECK(report.confirmedBy == "10.0.0.7:1");
+    CHECK(report.confirmedAgo == Millis{5});
+}
