--- a/include/standin/FakeLink.h
+++ b/include/standin/FakeLink.h
@@ -34,6 +34,10 @@
     // Treats connections as `state` says from now on. Preconditions: listen() succeeded.
     void setState(LinkState state);
 
+    // Passes at most so many bytes a millisecond in each direction of a connection from now on; 0:
+    // any number. Preconditions: none.
+    void setRate(size_t bytesPerMs) { m_bytesPerMs = bytesPerMs; }
+
     // Bytes that a cut holds now, and that were lost since their sender reset its connection.
     // Preconditions: none.
     size_t heldBytes() const { return m_held; }
@@ -57,6 +61,7 @@
     std::vector<std::weak_ptr<Tcp::socket>> m_sockets;  // Of both sides of all connections.
     std::vector<Tcp::socket> m_fillers;                 // Connections that nobody accepts.
     bool m_cut = false;
+    size_t m_bytesPerMs = 0;
     size_t m_held = 0;
     size_t m_lost = 0;
 };
--- a/src/standin/FakeLink.cpp
+++ b/src/standin/FakeLink.cpp
@@ -130,6 +130,9 @@
     while (!ec) {
         const size_t got = co_await from->async_read_some(
             asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+        if (m_bytesPerMs > 0) {
+            co_await SleepFor(static_cast<Millis>(got / m_bytesPerMs));
+        }
         const bool delivered = co_await hold(*from, got);
         if (!ec && delivered) {
             co_await asio::async_write(*to, asio::buffer(buffer, got),
