Deny unknown routes and keys only within the bound on changes

Cause: a box denied while its configuration was fresh, and fresh was derived from the bound on revoked keys alone (5,000 ms less 1,400). The bound on changes (2,000 to 5,000 ms by site) was read by nobody. In between, the age was honest and the answer unproved.

Why this works: a change that the box lacks was acknowledged after the time as of which its configuration is complete, so a denial at an age within the bound is never late. Beyond it the answer is 503 with Retry-After, and the box goes on to serve what it has. The shorter one of both limits now paces watches and followers, so that the age stays below it while the store responds.

--- a/include/admission/Admission.h
+++ b/include/admission/Admission.h
@@ -6,10 +6,10 @@
 // made when a request arrives and again before each further attempt, so that no attempt is sent
 // under a configuration that is no longer in force.
 //
-// Only a box with a fresh configuration may answer that a route or a credential does not exist. A
-// box that lacks configuration or upstreams, or whose configuration is too old by the
-// StalenessPolicy, refuses with 503. Routes that need no credential are served with a configuration
-// of any age.
+// A box answers that a route or a credential does not exist only if its configuration proves it
+// (MayDeny), and otherwise with 503: callers do not retry after 404 and 401. A box that lacks
+// configuration or upstreams, or whose configuration is too old by the StalenessPolicy, refuses
+// with 503 too. Routes that need no credential are served with a configuration of any age.
 #pragma once
 
 #include "include/admission/Refusal.h"
@@ -27,6 +27,8 @@
 struct AdmissionRules {
     StalenessPolicy staleness = RefuseStale{};
     Millis freshLimit = 3600;  // A configuration up to this age in ms is fresh; see FreshLimit().
+    // Up to this age in ms a configuration proves what does not exist; see DenialLimit().
+    Millis denialLimit = 1600;
 };
 
 // The state of a box that admission depends on.
@@ -66,6 +68,11 @@
 std::variant<Admission, Refusal> Admit(const AdmissionRules& rules, const AdmissionState& state,
                                        const AdmissionRequest& request);
 
+// Returns whether the configuration proves that a route or a credential that it lacks does not
+// exist: it is fresh and not older than the denial limit. Preconditions: none. Thread safety: any
+// thread.
+bool MayDeny(const AdmissionRules& rules, const AdmissionState& state);
+
 // Returns whether an admitted request may still be sent with a configuration of age `catalogAge`,
 // in milliseconds: the configuration may have become too old while the connection was opened.
 // Preconditions: none. Thread safety: any thread.
--- a/include/freshness/StalenessPolicy.h
+++ b/include/freshness/StalenessPolicy.h
@@ -1,5 +1,9 @@
-// Decides whether a box may act on the last configuration that it received. Input: the age of that
-// configuration in milliseconds.
+// Decides whether a box may act on the last configuration that it received, and whether that
+// configuration proves that something does not exist. Input: its age in milliseconds.
+//
+// The two have bounds of their own: one on how long a revoked credential may work, and one on how
+// long a change may take. What a box does not know may have been added; that it does not exist is
+// proved only while every change that has to be in force is part of the configuration.
 //
 // A credential that operators revoke has to stop working within a bound. Where that bound is
 // strict, a box that cannot receive revocations refuses every credential. Where it is not strict,
@@ -40,6 +44,13 @@
 // Preconditions: keyBound >= 0. Thread safety: any thread.
 Millis FreshLimit(Millis keyBound);
 
+// The age up to which a configuration proves that a route or a credential does not exist, in
+// milliseconds, if a change has to be in force within `changeBound`: the bound less the delay of
+// clocks, timers and calls, but at least half of the bound. There is no reserve for a store that
+// does not respond while it processes changes: operators extend the bound for that time.
+// Preconditions: changeBound >= 0. Thread safety: any thread.
+Millis DenialLimit(Millis changeBound);
+
 // Classifies a configuration of `age` (nothing: there is none). `freshLimit`: the age up to which
 // it is fresh. Preconditions: none. Thread safety: any thread.
 Staleness ClassifyStaleness(const StalenessPolicy& policy, Millis freshLimit,
--- a/include/freshness/StorePacing.h
+++ b/include/freshness/StorePacing.h
@@ -39,16 +39,16 @@
 };
 
 // Fits the times of watchers and followers into two bounds: a draining upstream gets no more work
-// after `drainBound`, and a configuration is fresh up to the age `freshLimit`; both in
-// milliseconds. Sets maxChangePause, followPeriod, followedPause and followedWait of `settings`.
+// after `drainBound`, and a configuration may be used for everything up to the age `maxAge`; both
+// in milliseconds. Sets maxChangePause, followPeriod, followedPause and followedWait of `settings`.
 // Preconditions: both >= 0. Thread safety: any thread.
-FollowerBounds FitFollowers(Millis drainBound, Millis freshLimit, StorePacingSettings& settings);
+FollowerBounds FitFollowers(Millis drainBound, Millis maxAge, StorePacingSettings& settings);
 
-// How long a configuration watch is held if a configuration is fresh up to the age `freshLimit`:
-// until the next watch ends, the state gets as old as the watch is long; the rest of the limit is
-// reserved for a store that stops responding. Preconditions: freshLimit >= 0. Thread safety: any
-// thread.
-Millis ConfigurationWait(Millis freshLimit);
+// How long a configuration watch is held if a configuration may be used for everything up to the
+// age `maxAge`: until the next watch ends, the state gets as old as the watch is long; the rest of
+// the limit is reserved for a store that stops responding. Preconditions: maxAge >= 0. Thread
+// safety: any thread.
+Millis ConfigurationWait(Millis maxAge);
 
 // How long a watch for orders of the operators (evacuations, rollouts) is held if an order has to
 // take effect within `bound`: a watch whose connection is silent is abandoned and sent again well
--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -12,15 +12,14 @@
 
 // Sets the team of the credential `name` and the priority in `admission`, or returns the reason for
 // a refusal.
-std::optional<RefusalReason> FindTeam(std::string_view name, Admission& admission) {
+std::optional<RefusalReason> FindTeam(std::string_view name, bool mayDeny, Admission& admission) {
     admission.priority = admission.route->priority;
     if (!admission.catalog->hasTeams() || admission.route->open) {
         return std::nullopt;
     }
     const Credential* credential = admission.catalog->findCredential(name);
     if (credential == nullptr) {
-        return admission.stale ? RefusalReason::kCredentialUnknownYet
-                               : RefusalReason::kUnknownCredential;
+        return mayDeny ? RefusalReason::kUnknownCredential : RefusalReason::kCredentialUnknownYet;
     }
     admission.team = credential->team;
     admission.teamAllowedRegions = &credential->allowedRegions;
@@ -47,11 +46,11 @@
         return MakeRefusal(RefusalReason::kConfigurationTooOld);
     }
     admission.stale = staleness != Staleness::kFresh;
+    const bool mayDeny = MayDeny(rules, state);
     if (route == nullptr) {
-        return MakeRefusal(admission.stale ? RefusalReason::kRouteUnknownYet
-                                           : RefusalReason::kNoRoute);
+        return MakeRefusal(mayDeny ? RefusalReason::kNoRoute : RefusalReason::kRouteUnknownYet);
     }
-    if (const auto reason = FindTeam(request.credential, admission)) {
+    if (const auto reason = FindTeam(request.credential, mayDeny, admission)) {
         return MakeRefusal(*reason);
     }
     admission.service = PickService(*route, request.randomValue);
@@ -61,6 +60,11 @@
     return admission;
 }
 
+bool MayDeny(const AdmissionRules& rules, const AdmissionState& state) {
+    return StalenessOf(rules, state.catalogAge) == Staleness::kFresh &&
+           *state.catalogAge <= rules.denialLimit;
+}
+
 bool MaySend(const AdmissionRules& rules, const Route& route, std::optional<Millis> catalogAge) {
     return route.open || StalenessOf(rules, catalogAge) != Staleness::kUnusable;
 }
--- a/src/freshness/StalenessPolicy.cpp
+++ b/src/freshness/StalenessPolicy.cpp
@@ -29,6 +29,10 @@
     return std::max<Millis>(keyBound / 2, keyBound - kMaxStoreSilenceMs - kMaxLatenessMs);
 }
 
+Millis DenialLimit(Millis changeBound) {
+    return std::max<Millis>(changeBound / 2, changeBound - kMaxLatenessMs);
+}
+
 Staleness ClassifyStaleness(const StalenessPolicy& policy, Millis freshLimit,
                             std::optional<Millis> age) {
     if (!age) {
--- a/src/freshness/StorePacing.cpp
+++ b/src/freshness/StorePacing.cpp
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-FollowerBounds FitFollowers(Millis drainBound, Millis freshLimit, StorePacingSettings& settings) {
-    const Millis shorter = std::min(drainBound, freshLimit);
+FollowerBounds FitFollowers(Millis drainBound, Millis maxAge, StorePacingSettings& settings) {
+    const Millis shorter = std::min(drainBound, maxAge);
     const Millis bound = std::clamp<Millis>(shorter, kMinFollowBoundMs, kMaxFollowBoundMs);
     settings.maxChangePause = drainBound / kChangePauseDivisor;
     settings.followPeriod = bound / kFollowPeriodDivisor;
@@ -53,8 +53,8 @@
     return {part(kPeerQueryAgeShare), part(kMaxAgeShare), shorter >= kMinFollowBoundMs};
 }
 
-Millis ConfigurationWait(Millis freshLimit) {
-    return freshLimit * 5 / 9;
+Millis ConfigurationWait(Millis maxAge) {
+    return maxAge * 5 / 9;
 }
 
 Millis OrderWait(Millis bound) {
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -11,9 +11,10 @@
 constexpr int64_t kDay = 24LL * 3600 * 1000;
 // Bounds of the operators, in milliseconds, where the settings have none: those of the sites so
 // far.
-constexpr Millis kDefaultKeyBound = 5000;    // A revoked credential stops working.
-constexpr Millis kDefaultDrainBound = 2000;  // A draining upstream gets no more work.
-constexpr Millis kDefaultGrace = 8000;       // The process is ended after a stop signal.
+constexpr Millis kDefaultKeyBound = 5000;     // A revoked credential stops working.
+constexpr Millis kDefaultChangeBound = 2000;  // A change of the configuration is in force.
+constexpr Millis kDefaultDrainBound = 2000;   // A draining upstream gets no more work.
+constexpr Millis kDefaultGrace = 8000;        // The process is ended after a stop signal.
 
 // A number of boxes.
 size_t ReadCount(SettingsReader& reader, std::string_view key, size_t otherwise, int64_t least) {
@@ -53,6 +54,8 @@
 AdmissionRules ReadAdmission(SettingsReader& reader) {
     AdmissionRules rules;
     rules.freshLimit = FreshLimit(reader.number("store.key_bound_ms", kDefaultKeyBound, 100, kDay));
+    rules.denialLimit =
+        DenialLimit(reader.number("store.configuration_bound_ms", kDefaultChangeBound, 100, kDay));
     rules.staleness = ReadStaleness(reader, rules.freshLimit);
     return rules;
 }
@@ -61,12 +64,14 @@
 void ReadPacing(SettingsReader& reader, GatewaySettings& settings) {
     StorePacingSettings& pacing = settings.pacing;
     WatcherSelectorSettings& watcherSelector = settings.watcherSelector;
-    const Millis wait = ConfigurationWait(settings.admission.freshLimit);
+    // The configuration has to be young enough for all that it is used for.
+    const Millis maxAge = std::min(settings.admission.freshLimit, settings.admission.denialLimit);
+    const Millis wait = ConfigurationWait(maxAge);
     pacing.configurationWait = reader.number("store.watch_ms", wait, 10, 30000);
     pacing.upstreamWait = reader.number("store.upstream_watch_ms", pacing.upstreamWait, 10, 30000);
     pacing.pausePerBox = reader.number("store.rest_ms_per_box", pacing.pausePerBox, 0, 1000);
     const Millis drainBound = reader.number("store.leaving_bound_ms", kDefaultDrainBound, 0, kDay);
-    const FollowerBounds bounds = FitFollowers(drainBound, settings.admission.freshLimit, pacing);
+    const FollowerBounds bounds = FitFollowers(drainBound, maxAge, pacing);
     settings.storeCall.peerQueryAge = watcherSelector.maxFreshAge = bounds.peerQueryAge;
     settings.storeCall.maxAge = bounds.maxAge;
     watcherSelector.boxesPerWatcher =
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -6,6 +6,7 @@
 #include "include/gateway/RelayHeaders.h"
 #include "include/health/RequestFingerprint.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace onyx {
@@ -392,9 +393,10 @@
     std::string text = RefusalText(refusal.status, refusal.text, fields, close);
     const bool written = co_await m_caller.write(std::move(text));
     const Admission* admission = m_admission.route != nullptr ? &m_admission : nullptr;
+    const AdmissionRules& rules = m_context.settings.admission;
     m_context.log.refused(report(), admission, refusal,
                           m_decidedOn.value_or(m_context.configuration.report(ReadClocks().mono)),
-                          m_context.settings.admission.freshLimit);
+                          std::min(rules.freshLimit, rules.denialLimit));
     co_return written ? afterAnswer() : AfterAnswer::kAborted;
 }
 
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -79,6 +79,24 @@
     CHECK(RefusalOf(serving, state, noRoute)->reason == RefusalReason::kNoConfiguration);
 }
 
+// Guards against 404 and 401 for what was added longer ago than a change may take (CONFIG).
+TEST_CASE("A box denies only what its configuration proves, and goes on to serve what it has") {
+    constexpr Millis kDenialLimit = 1600;
+    const AdmissionRules rules{RefuseStale{}, 3600, kDenialLimit};
+    const AdmissionRequest noRoute = RequestFor("/nowhere/", "key-of-north");
+    const AdmissionRequest noCredential = RequestFor("/keyed/", "x");
+    AdmissionState state = FreshState();
+    state.catalogAge = kDenialLimit;
+    CHECK(RefusalOf(rules, state, noRoute)->status == 404);
+    CHECK(RefusalOf(rules, state, noCredential)->status == 401);
+    state.catalogAge = kDenialLimit + 1;
+    CHECK(RefusalOf(rules, state, noRoute)->reason == RefusalReason::kRouteUnknownYet);
+    CHECK(RefusalOf(rules, state, noCredential)->reason == RefusalReason::kCredentialUnknownYet);
+    CHECK_FALSE(RefusalOf(rules, state, RequestFor("/keyed/", "key-of-north")));
+    CHECK(CanAdmit(rules, state));
+    CHECK_FALSE(MayDeny(rules, state));
+}
+
 TEST_CASE(
     "Only open routes are served with an expired configuration, at admission and before a send") {
     AdmissionState state = FreshState();
--- a/tests/FreshnessTest.cpp
+++ b/tests/FreshnessTest.cpp
@@ -42,6 +42,13 @@
     }
 }
 
+TEST_CASE("What does not exist is proved for less than the time that a change may take") {
+    CHECK(DenialLimit(2000) == 1600);
+    CHECK(DenialLimit(5000) == 4600);
+    CHECK(DenialLimit(600) == 300);
+    CHECK(DenialLimit(0) == 0);
+}
+
 TEST_CASE("The strict policy refuses a stale configuration") {
     const StalenessPolicy strict = RefuseStale{};
     CHECK(ClassifyStaleness(strict, 3600, 3600) == Staleness::kFresh);
--- a/tests/GatewaySettingsTest.cpp
+++ b/tests/GatewaySettingsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace onyx;
 
 namespace {
@@ -53,6 +55,22 @@
     }
 }
 
+// Guards against denials on a configuration older than a change may take: each bound limits what it
+// is for, and the shorter one paces the calls.
+TEST_CASE("The bounds on keys and on changes are kept apart, and the shorter one paces the calls") {
+    for (const int bound : {1000, 2000, 3000, 10000}) {
+        std::string problems;
+        const GatewaySettings settings =
+            Read(kGood + "configuration_bound_ms = " + std::to_string(bound) + "\n", problems);
+        CHECK(problems.empty());
+        CHECK(settings.admission.freshLimit == 3600);
+        CHECK(settings.admission.denialLimit == DenialLimit(bound));
+        const Millis limit = std::min(settings.admission.freshLimit, DenialLimit(bound));
+        CHECK(settings.pacing.configurationWait < limit);
+        CHECK(settings.storeCall.maxAge + settings.pacing.followPeriod < limit);
+    }
+}
+
 TEST_CASE(
     "A follower leaves a watcher that was cut off well within the bound on leaving upstreams") {
     for (const int bound : {600, 1000, 2000, 3000, 10000}) {
--- a/tests/RefreshPlannerTest.cpp
+++ b/tests/RefreshPlannerTest.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <numeric>
+#include <random>
 
 using namespace onyx;
 
@@ -131,3 +133,98 @@
     CHECK(site.calls() - before >= 7 * 5);
     CHECK(site.takeMaxAge() <= 4600);
 }
+
+namespace {
+
+// The bounds of a deployment, in milliseconds.
+struct DeploymentBounds {
+    size_t boxes = 0;
+    size_t zones = 0;
+    Millis drain = 0;
+    Millis change = 0;
+};
+
+// As GatewaySettings does.
+RefreshSimulationSettings LateSite(const DeploymentBounds& bounds) {
+    RefreshSimulationSettings size;
+    size.boxes = bounds.boxes;
+    size.zones = bounds.zones;
+    size.drainBound = bounds.drain;
+    size.changeBound = bounds.change;
+    size.admission.denialLimit = DenialLimit(bounds.change);
+    size.freshLimit = std::min(size.admission.freshLimit, size.admission.denialLimit);
+    size.storeResponses = {0.05, 1500};
+    size.peerReplies = {0.1, 1500};
+    size.copies = {0.2, 4000};
+    return size;
+}
+
+// For 14 s the operators change the configuration every 0.7 s, while boxes stand still for up to
+// 3 s, watchers are killed and the store refuses a quarter of the boxes.
+void PlayLateSite(RefreshSimulation& site, size_t boxes, uint64_t seed) {
+    std::mt19937_64 random(seed);
+    site.run(kSettlingTimeMs);
+    site.askBoxes(50);
+    for (int i = 0; i < 20; ++i) {
+        site.change();
+        std::vector<size_t> late;
+        for (size_t box = random() % 10; box < boxes; box += 1 + random() % 20) {
+            late.push_back(box);
+        }
+        site.pause(late, static_cast<Millis>(random() % 3000));
+        if (i % 8 == 2) {
+            site.kill(site.watchers(), 2000);
+        }
+        if (i % 8 == 5) {
+            site.refuse([&](size_t box) { return box % 4 == random() % 4; });
+        }
+        if (i % 8 == 0) {
+            site.refuseNone();
+        }
+        site.run(700);
+    }
+}
+
+}  // namespace
+
+// Guards against 404 and 401 for something that had to be in force (pcw-onyx-grown, CONFIG): the
+// age up to which a box denied what it did not know was derived from the bound on revoked keys.
+TEST_CASE("Boxes whose messages and processes are late deny nothing that has to be in force",
+          "[long]") {
+    const auto bounds =
+        GENERATE(DeploymentBounds{85, 4, 3000, 3000}, DeploymentBounds{295, 5, 4000, 4000},
+                 DeploymentBounds{985, 5, 5000, 5000});
+    constexpr uint64_t seed = 1;
+    CAPTURE(bounds.boxes, seed);
+    RefreshSimulation site(LateSite(bounds), seed);
+    PlayLateSite(site, bounds.boxes, seed);
+    const DenialCounts& counts = site.denials();
+    INFO(counts.asked << " asked, " << counts.unproved << " unproved, " << counts.wrong
+                      << " wrong, latest " << counts.latestWrong << " ms, " << counts.refusedWanted
+                      << " refused of what had to be in force; calls " << site.calls());
+    CHECK(counts.asked > 50 * bounds.boxes);
+    CHECK(counts.wrong == 0);
+    // Most denials are proved although so much is late.
+    CHECK(counts.unproved < counts.asked / 4);
+}
+
+TEST_CASE("On a calm day nearly every denial is proved at once", "[long]") {
+    const auto bounds =
+        GENERATE(DeploymentBounds{7, 3, 2000, 2000}, DeploymentBounds{85, 4, 3000, 3000},
+                 DeploymentBounds{295, 5, 4000, 4000}, DeploymentBounds{985, 5, 5000, 5000});
+    RefreshSimulationSettings size = LateSite(bounds);
+    size.storeResponses = size.peerReplies = size.copies = {};
+    RefreshSimulation site(size, 1);
+    site.run(kSettlingTimeMs);
+    site.askBoxes(50);
+    const size_t before = site.calls();
+    for (int i = 0; i < 3; ++i) {
+        site.change();
+        site.run(4000);
+    }
+    const DenialCounts& counts = site.denials();
+    INFO(counts.asked << " asked, " << counts.unproved << " unproved; calls "
+                      << site.calls() - before << ", copies " << site.copyReads());
+    CHECK(counts.wrong == 0);
+    CHECK(counts.unproved * 1000 <= counts.asked);
+}
--- a/tests/RefreshSimulation.cpp
+++ b/tests/RefreshSimulation.cpp
@@ -28,6 +28,14 @@
     bool waiting[2] = {false, false};    // Whether a call waits for permission.
     bool confirmed[2] = {false, false};  // Whether the store responded since the calls began.
     Millis pause[2] = {0, 0};
+    size_t changes = 0;       // Of the configuration, that the box has.
+    size_t changesHeard = 0;  // Those that other boxes have.
+    bool readsCopy = false;
+    MonoTime pausedUntil;
+    // The watches under way: number, when sent, how long held; 0: none.
+    uint64_t call[2] = {0, 0};
+    MonoTime sent[2];
+    Millis held[2] = {0, 0};
 };
 
 RefreshSimulation::RefreshSimulation(RefreshSimulationSettings size, uint64_t seed)
@@ -88,6 +96,7 @@
     box.index = i;
     box.incarnation = incarnation;
     box.running = true;
+    box.changes = m_changes.size();
     box.planner = std::make_unique<RefreshPlanner>(m_settings, m_now, m_random());
     m_copyReads += 2;
     at(randomBetween(0, kStepPeriodMs), [this, i] { step(i); });
@@ -96,6 +105,29 @@
     }
 }
 
+Millis RefreshSimulation::lateness(const Lateness& kind) {
+    const bool isLate = std::bernoulli_distribution(kind.share)(m_random);
+    return isLate ? randomBetween(0, kind.most) : 0;
+}
+
+// Runs `action` now, or once the process goes on; not if the box has ended by then.
+void RefreshSimulation::whenRunning(size_t i, Action action) {
+    const Box& box = *m_boxes[i];
+    if (!box.running) {
+        return;
+    }
+    if (box.pausedUntil <= m_now) {
+        action();
+        return;
+    }
+    const uint64_t incarnation = box.incarnation;
+    at(box.pausedUntil - m_now, [this, i, incarnation, action = std::move(action)] {
+        if (m_boxes[i]->incarnation == incarnation) {
+            whenRunning(i, action);
+        }
+    });
+}
+
 std::optional<Millis> RefreshSimulation::ageOf(const Box& box) const {
     if (!box.asOf[0] || !box.asOf[1]) {
         return std::nullopt;
@@ -157,7 +189,7 @@
     }
     at(kStepPeriodMs, [this, i, incarnation] {
         if (m_boxes[i]->incarnation == incarnation) {
-            this->step(i);
+            whenRunning(i, [this, i] { this->step(i); });
         }
     });
 }
@@ -165,26 +197,60 @@
 void RefreshSimulation::queryPeer(size_t from, size_t to, bool follows) {
     const MonoTime sent = m_now;
     const uint64_t incarnation = m_boxes[from]->incarnation;
-    at(kNetworkDelayMs, [this, from, to, follows, sent, incarnation] {
+    const auto reply = [this, from, to, follows, sent, incarnation] {
         Box& queried = *m_boxes[to];
-        if (!queried.running) {
-            return;
-        }
         if (follows) {
             queried.planner->noteFollowerQuery(m_now);
         }
         const auto age = ageOf(queried);
-        at(kNetworkDelayMs, [this, from, to, sent, age, incarnation] {
-            Box& box = *m_boxes[from];
-            if (!box.running || box.incarnation != incarnation) {
+        const auto configurationAge =
+            queried.asOf[0] ? std::optional(m_now - *queried.asOf[0]) : std::nullopt;
+        const size_t changes = queried.changes;
+        at(kNetworkDelayMs + lateness(m_size.peerReplies), [=, this] {
+            if (m_boxes[from]->incarnation != incarnation) {
                 return;
             }
-            if (age) {
-                for (auto& asOf : box.asOf) {
-                    asOf = std::max(asOf.value_or(MonoTime{}), sent - *age);
-                }
-            }
-            box.planner->noteReply(m_names[to], age, ageOf(box), m_now);
+            whenRunning(from,
+                        [=, this] { onPeerReply(from, to, sent, age, configurationAge, changes); });
+        });
+    };
+    at(kNetworkDelayMs, [this, to, reply] { whenRunning(to, reply); });
+}
+
+// As PeerSync does: the age of a configuration that this box does not have says nothing here.
+void RefreshSimulation::onPeerReply(size_t from, size_t to, MonoTime sent,
+                                    std::optional<Millis> age,
+                                    std::optional<Millis> configurationAge, size_t changes) {
+    Box& box = *m_boxes[from];
+    box.changesHeard = std::max(box.changesHeard, changes);
+    if (configurationAge && box.changes >= changes) {
+        box.asOf[0] = std::max(box.asOf[0].value_or(MonoTime{}), sent - *configurationAge);
+    }
+    if (age) {
+        box.asOf[1] = std::max(box.asOf[1].value_or(MonoTime{}), sent - *age);
+    }
+    box.planner->noteReply(m_names[to], age, ageOf(box), m_now);
+    if (box.changes < changes) {
+        readCopy(from);
+    }
+}
+
+void RefreshSimulation::readCopy(size_t i) {
+    Box& box = *m_boxes[i];
+    if (box.readsCopy) {
+        return;
+    }
+    box.readsCopy = true;
+    ++m_copyReads;
+    const size_t changes = m_changes.size();
+    const uint64_t incarnation = box.incarnation;
+    at(m_size.copyTime + lateness(m_size.copies), [this, i, changes, incarnation] {
+        if (m_boxes[i]->incarnation != incarnation) {
+            return;
+        }
+        whenRunning(i, [this, i, changes] {
+            m_boxes[i]->readsCopy = false;
+            m_boxes[i]->changes = std::max(m_boxes[i]->changes, changes);
         });
     });
 }
@@ -200,33 +266,107 @@
     }
     const uint64_t incarnation = box.incarnation;
     ++m_calls;
-    const MonoTime sent = m_now;
     if (m_refused.contains(i)) {
         box.pause[kind] = PauseAfterFailure(box.pause[kind], pacingInputsOf(box));
         at(kStoreDelayMs + randomBetween(box.pause[kind] / 2, box.pause[kind]),
            [this, i, kind, incarnation] {
                if (m_boxes[i]->incarnation == incarnation) {
-                   callStore(i, kind);
+                   whenRunning(i, [this, i, kind] { callStore(i, kind); });
                }
            });
         return;
     }
     const Millis wait = kind == 0 ? m_pacing.configurationWait : m_pacing.upstreamWait;
     const Millis most = WatchWait(m_pacing, pacingInputsOf(box), wait);
-    const Millis held = box.confirmed[kind] ? (kind == 0 ? StaggeredWait(most, m_random()) : most)
-                                            : std::min(kMinWatchWaitMs, most);
-    at(kStoreDelayMs + held, [this, i, kind, incarnation, sent, held] {
-        Box& answered = *m_boxes[i];
-        if (!answered.running || answered.incarnation != incarnation) {
+    box.held[kind] = box.confirmed[kind] ? (kind == 0 ? StaggeredWait(most, m_random()) : most)
+                                         : std::min(kMinWatchWaitMs, most);
+    box.sent[kind] = m_now;
+    box.call[kind] = ++m_order;
+    const bool isBehind = kind == 0 && box.changes < m_changes.size();
+    const Millis held = isBehind ? 0 : box.held[kind];
+    at(kStoreDelayMs + held, [this, i, kind, call = box.call[kind]] { endWatch(i, kind, call); });
+}
+
+// The store responds to the watch number `call`, because its time is over or there is a change.
+void RefreshSimulation::endWatch(size_t i, int kind, uint64_t call) {
+    Box& box = *m_boxes[i];
+    if (!box.running || box.call[kind] != call) {
+        return;
+    }
+    box.call[kind] = 0;
+    const size_t changes = m_changes.size();
+    const bool isUnchanged = kind != 0 || changes == box.changes;
+    const MonoTime sent = box.sent[kind];
+    const Millis held = box.held[kind];
+    const uint64_t incarnation = box.incarnation;
+    at(lateness(m_size.storeResponses), [=, this] {
+        if (m_boxes[i]->incarnation != incarnation) {
             return;
         }
-        answered.pause[kind] = 0;
-        answered.confirmed[kind] = true;
-        answered.asOf[kind] = std::max(answered.asOf[kind].value_or(MonoTime{}), sent + held);
-        callStore(i, kind);
+        whenRunning(i, [=, this] {
+            onStoreResponse(i, kind, WatchConfirmedAsOf(sent, m_now, held, isUnchanged), changes);
+        });
     });
 }
 
+void RefreshSimulation::onStoreResponse(size_t i, int kind, MonoTime asOf, size_t changes) {
+    Box& box = *m_boxes[i];
+    box.pause[kind] = 0;
+    box.confirmed[kind] = true;
+    box.asOf[kind] = std::max(box.asOf[kind].value_or(MonoTime{}), asOf);
+    if (kind == 0) {
+        box.changes = std::max(box.changes, changes);
+    }
+    callStore(i, kind);
+}
+
+void RefreshSimulation::pause(const std::vector<size_t>& boxes, Millis time) {
+    for (const size_t i : boxes) {
+        m_boxes[i]->pausedUntil = std::max(m_boxes[i]->pausedUntil, m_now + time);
+    }
+}
+
+void RefreshSimulation::change() {
+    m_changes.push_back(m_now);
+    for (const auto& box : m_boxes) {
+        if (box->running && box->call[0] != 0) {
+            at(kStoreDelayMs,
+               [this, i = box->index, call = box->call[0]] { endWatch(i, 0, call); });
+        }
+    }
+}
+
+void RefreshSimulation::askBoxes(Millis period) {
+    for (size_t i = 0; i < m_boxes.size(); ++i) {
+        askBox(i);
+    }
+    at(period, [this, period] { askBoxes(period); });
+}
+
+void RefreshSimulation::askBox(size_t i) {
+    const Box& box = *m_boxes[i];
+    if (!box.running || !ageOf(box) || box.pausedUntil > m_now) {
+        return;
+    }
+    AdmissionState state;
+    state.catalogAge = m_now - *box.asOf[0];
+    const bool mayDeny = MayDeny(m_size.admission, state);
+    ++m_denials.asked;
+    m_denials.unproved += mayDeny ? 0 : 1;
+    const auto due =
+        std::upper_bound(m_changes.begin(), m_changes.end(), m_now - m_size.changeBound - 1);
+    const auto dueCount = static_cast<size_t>(due - m_changes.begin());
+    if (box.changes >= dueCount) {
+        return;
+    }
+    if (mayDeny) {
+        ++m_denials.wrong;
+        m_denials.latestWrong = std::max(m_denials.latestWrong, m_now - m_changes[box.changes]);
+    } else {
+        ++m_denials.refusedWanted;
+    }
+}
+
 size_t RefreshSimulation::olderThan(Millis limit) const {
     return static_cast<size_t>(std::count_if(m_boxes.begin(), m_boxes.end(), [&](const auto& box) {
         return box->running && ageOf(*box).value_or(limit + 1) > limit;
--- a/tests/RefreshSimulation.h
+++ b/tests/RefreshSimulation.h
@@ -1,10 +1,12 @@
 // Simulates which boxes of a site call the store: many boxes in zones, each with the RefreshPlanner
-// and StorePacing of the gateway, and a store that responds, refuses or does not respond. It uses
-// virtual time, one seed and no sockets, so every run is the same. The state of a box is a single
-// number here, the time as of which the state is complete; the transfer of changes is not
+// and StorePacing of the gateway, and a store that responds, refuses or does not respond. Responses
+// of the store, replies of peers and processes may be late. It uses virtual time, one seed and no
+// sockets, so every run is the same. The state of a box is the time as of which each part is
+// complete, and the number of the configuration that it has; the transfer of upstreams is not
 // simulated.
 #pragma once
 
+#include "include/admission/Admission.h"
 #include "include/freshness/PeerQueries.h"
 #include "include/freshness/RefreshPlanner.h"
 #include "include/freshness/StorePacing.h"
@@ -21,12 +23,33 @@
 
 namespace onyx {
 
+// How many messages of a kind are late, and by how much at most, in milliseconds.
+struct Lateness {
+    double share = 0;
+    Millis most = 0;
+};
+
 // Size and bounds of the site. Times in milliseconds.
 struct RefreshSimulationSettings {
     size_t boxes = 295;
     size_t zones = 5;
     Millis drainBound = 4000;
-    Millis freshLimit = 3600;
+    Millis freshLimit = 3600;  // Up to this age a configuration may be used for everything.
+    Lateness storeResponses;
+    Lateness peerReplies;
+    Lateness copies;            // Reads of a new configuration.
+    Millis copyTime = 40;       // Such a read, when it is not late.
+    AdmissionRules admission;   // By which boxes deny what they do not know.
+    Millis changeBound = 5000;  // A change of the configuration has to be in force.
+};
+
+// What boxes answered callers that asked for something that they did not know.
+struct DenialCounts {
+    size_t asked = 0;          // For something that does not exist.
+    size_t unproved = 0;       // Of these, refused with 503.
+    size_t wrong = 0;          // Answers that something does not exist after it had to be in force.
+    Millis latestWrong = 0;    // The longest time from the change to such an answer.
+    size_t refusedWanted = 0;  // 503 for something that had to be in force.
 };
 
 // A simulated site. Not thread safe.
@@ -55,6 +78,14 @@
     void refuseNone() { m_refused.clear(); }
     // Stops boxes; they start again after `down` milliseconds, without state.
     void kill(const std::vector<size_t>& boxes, Millis down);
+    // Lets processes stand still for `time` milliseconds: what arrives meanwhile is handled then.
+    void pause(const std::vector<size_t>& boxes, Millis time);
+    // The operators change the configuration: something is added.
+    void change();
+    // Asks each running box that does not stand still, every `period` milliseconds from now on, for
+    // something that does not exist and for the newest that had to be in force.
+    void askBoxes(Millis period);
+    const DenialCounts& denials() const { return m_denials; }
     // Boxes that watch the store for their zone now.
     std::vector<size_t> watchers() const;
     size_t zoneOf(size_t box) const { return box % m_size.zones; }
@@ -67,7 +98,15 @@
     void start(size_t i);
     void step(size_t i);
     void queryPeer(size_t from, size_t to, bool follows);
+    void onPeerReply(size_t from, size_t to, MonoTime sent, std::optional<Millis> age,
+                     std::optional<Millis> configurationAge, size_t changes);
+    void readCopy(size_t i);
     void callStore(size_t i, int kind);
+    void endWatch(size_t i, int kind, uint64_t call);
+    void onStoreResponse(size_t i, int kind, MonoTime asOf, size_t changes);
+    void askBox(size_t i);
+    void whenRunning(size_t i, Action action);
+    Millis lateness(const Lateness& kind);
     StorePacingInputs pacingInputsOf(const Box& box) const;
     std::optional<Millis> ageOf(const Box& box) const;
     Millis randomBetween(Millis least, Millis most);
@@ -97,6 +136,8 @@
     size_t m_calls = 0;
     size_t m_copyReads = 0;
     Millis m_maxAge = 0;
+    std::vector<MonoTime> m_changes;  // When the operators changed the configuration.
+    DenialCounts m_denials;
 };
 
 }  // namespace onyx
