Deny nothing while the newest configuration cannot be read

What callers would see: 404 and 401 for any length of time for what the newest configuration added, by a box whose build cannot read that one.

Cause: an object that cannot be read leaves the configuration before it in force, and the answer that brought it confirmed that one's age all the same: an age without its content.

Why this works: the configuration in force then counts as superseded until a newer one is in force. Known routes and keys are served as before, also where late revocations are not tolerated; only denials become 503. An unreadable copy changes nothing, since it may be older than what is in force.

--- a/include/admission/Admission.h
+++ b/include/admission/Admission.h
@@ -37,6 +37,7 @@
     std::shared_ptr<const Catalog> catalog;  // Null until there is a configuration.
     std::optional<Millis> catalogAge;        // In milliseconds; nullopt until there is one.
     bool upstreamsListed = false;            // An upstream list has been received.
+    bool superseded = false;  // There is a newer configuration, which this box does not have.
 };
 
 // The parts of a request that admission depends on.
@@ -69,7 +70,8 @@
                                        const AdmissionRequest& request);
 
 // Returns whether the configuration proves that a route or a credential that it lacks does not
-// exist: it is fresh and not older than the denial limit. Preconditions: none. Thread safety: any
+// exist: it is fresh, not older than the denial limit and the newest that the box knows of.
+// Preconditions: none. Thread safety: any
 // thread.
 bool MayDeny(const AdmissionRules& rules, const AdmissionState& state);
 
--- a/include/gateway/ConfigurationState.h
+++ b/include/gateway/ConfigurationState.h
@@ -40,6 +40,10 @@
     // Preconditions: none.
     void reject(const Error& error);
 
+    // Records that the store's newest configuration cannot be read: the one in force is superseded
+    // until a newer one is. Preconditions: none.
+    void noteUnreadable() { m_newestUnreadable = true; }
+
     // Records that the configuration in force is the newest one from before `asOf`. `source`:
     // kStoreSource or the address of a box. Preconditions: as for StateAge::confirm().
     void confirm(MonoTime asOf, std::string_view source, MonoTime now);
@@ -48,6 +52,9 @@
     const std::shared_ptr<const Catalog>& catalog() const { return m_catalog; }
     // The version of the configuration in force, 0 before the first. Preconditions: none.
     uint64_t version() const { return m_catalog ? m_catalog->version() : 0; }
+    // Whether there is a newer configuration, which is not in force here: requests may be served by
+    // the current one, but it does not prove what does not exist. Preconditions: none.
+    bool superseded() const { return m_newestUnreadable; }
     // The text of the configuration in force, to be sent to other boxes. Preconditions: none.
     const std::string& text() const { return m_text; }
     // The age of the configuration in milliseconds, or nothing before the first confirmation.
@@ -60,6 +67,7 @@
     std::shared_ptr<const Catalog> m_catalog;
     std::string m_text;
     StateAge m_age;
+    bool m_newestUnreadable = false;  // Since the configuration in force was applied.
     std::string m_confirmedBy;
     MonoTime m_confirmedAt;
 };
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -51,7 +51,7 @@
                                   const UpstreamList& upstreams, const Lifecycle& lifecycle,
                                   MonoTime now) {
     return {lifecycle.refusing(), configuration.catalog(), configuration.age(now),
-            upstreams.age(now).has_value()};
+            upstreams.age(now).has_value(), configuration.superseded()};
 }
 
 }  // namespace onyx
--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -61,7 +61,7 @@
 }
 
 bool MayDeny(const AdmissionRules& rules, const AdmissionState& state) {
-    return StalenessOf(rules, state.catalogAge) == Staleness::kFresh &&
+    return !state.superseded && StalenessOf(rules, state.catalogAge) == Staleness::kFresh &&
            *state.catalogAge <= rules.denialLimit;
 }
 
--- a/src/gateway/ConfigurationState.cpp
+++ b/src/gateway/ConfigurationState.cpp
@@ -19,6 +19,7 @@
     }
     m_catalog = catalog.value();
     m_text = configuration.text;
+    m_newestUnreadable = false;
     logEvent(Event::kCatalogInForce, {{"revision", std::to_string(offered)},
                                       {"routes", std::to_string(m_catalog->routeCount())}});
 }
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -169,6 +169,10 @@
             }
         } else if (const auto* error = std::get_if<Error>(&object.content)) {
             m_configurationState.reject(*error);
+            // A copy may be older than the configuration in force.
+            if (update.asOf) {
+                m_configurationState.noteUnreadable();
+            }
         }
     }
     if (update.asOf) {
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -97,6 +97,15 @@
     CHECK_FALSE(MayDeny(rules, state));
 }
 
+// Guards against 404 and 401 by a box that knows that there is a newer configuration.
+TEST_CASE("A box denies nothing while it knows of a newer configuration") {
+    AdmissionState state = FreshState();
+    state.superseded = true;
+    CHECK(RefusalOf({}, state, RequestFor("/nowhere/", ""))->status == 503);
+    CHECK(RefusalOf({}, state, RequestFor("/keyed/", "x"))->status == 503);
+    CHECK_FALSE(RefusalOf({}, state, RequestFor("/keyed/", "key-of-north")));
+}
+
 TEST_CASE(
     "Only open routes are served with an expired configuration, at admission and before a send") {
     AdmissionState state = FreshState();
