Deny nothing while another box is known to have a newer configuration

What callers see: 404 for a route that was just added, by a box that has already heard from its watcher or a peer that there is a newer configuration and is still reading it (a copy that is behind, a slow link, 1,400 routes more).

Cause: the version in replies and queries of other boxes only started the read; admission did not know of it. Within the bound on changes the denial is allowed, and the box knows better all the same.

--- a/include/gateway/ConfigurationState.h
+++ b/include/gateway/ConfigurationState.h
@@ -9,6 +9,7 @@
 #include "include/routing/Catalog.h"
 #include "include/store/ObjectStore.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,9 +53,12 @@
     const std::shared_ptr<const Catalog>& catalog() const { return m_catalog; }
     // The version of the configuration in force, 0 before the first. Preconditions: none.
     uint64_t version() const { return m_catalog ? m_catalog->version() : 0; }
+    // Records that another box has the configuration `version`. Preconditions: none.
+    void noteVersion(uint64_t version) { m_newestKnown = std::max(m_newestKnown, version); }
+
     // Whether there is a newer configuration, which is not in force here: requests may be served by
     // the current one, but it does not prove what does not exist. Preconditions: none.
-    bool superseded() const { return m_newestUnreadable; }
+    bool superseded() const { return m_newestUnreadable || m_newestKnown > version(); }
     // The text of the configuration in force, to be sent to other boxes. Preconditions: none.
     const std::string& text() const { return m_text; }
     // The age of the configuration in milliseconds, or nothing before the first confirmation.
@@ -67,6 +71,7 @@
     std::shared_ptr<const Catalog> m_catalog;
     std::string m_text;
     StateAge m_age;
+    uint64_t m_newestKnown = 0;       // At any box.
     bool m_newestUnreadable = false;  // Since the configuration in force was applied.
     std::string m_confirmedBy;
     MonoTime m_confirmedAt;
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -179,6 +179,7 @@
 
 void PeerSync::onKnowledgeQuery(const std::string& from, const wire::KnowledgeAskT& ask) {
     const MonoTime now = ReadClocks().mono;
+    m_configuration.noteVersion(ask.have);
     if (ask.follows) {
         m_refreshPlanner.noteFollowerQuery(now);
     }
@@ -256,6 +257,7 @@
 }
 
 void PeerSync::onKnowledgeReply(const std::string& from, const wire::KnowledgeReplyT& reply) {
+    m_configuration.noteVersion(reply.revision);
     const bool requestedChanges = m_peerQueries.endFetch(reply.round) || from == m_watcher;
     applyEvacuations(from, reply);
     if (m_settings.rollout.exposureLimit > 0) {
--- a/tests/ConfigurationStateTest.cpp
+++ b/tests/ConfigurationStateTest.cpp
@@ -40,6 +40,26 @@
     CHECK(state.age({100}) == Millis{50});
 }
 
+// Guards against denials by a box that has heard of a newer configuration and does not have it yet.
+TEST_CASE("A configuration is superseded while another box has a newer one") {
+    ConfigurationState state;
+    state.apply(Version(4));
+    state.noteVersion(4);
+    CHECK_FALSE(state.superseded());
+    state.noteVersion(6);
+    state.noteVersion(5);
+    state.apply(Version(5));
+    CHECK(state.superseded());
+    state.apply(Version(6));
+    CHECK_FALSE(state.superseded());
+    state.noteUnreadable();
+    CHECK(state.superseded());
+    state.apply(Version(6));
+    CHECK(state.superseded());
+    state.apply(Version(7));
+    CHECK_FALSE(state.superseded());
+}
+
 TEST_CASE("What a decision is made on names the version, its age and what confirmed it last") {
     ConfigurationState state;
     CHECK_FALSE(state.report({10}).version.has_value());
--- a/tests/RefreshSimulation.cpp
+++ b/tests/RefreshSimulation.cpp
@@ -350,6 +350,7 @@
     }
     AdmissionState state;
     state.catalogAge = m_now - *box.asOf[0];
+    state.superseded = box.changesHeard > box.changes;
     const bool mayDeny = MayDeny(m_size.admission, state);
     ++m_denials.asked;
     m_denials.unproved += mayDeny ? 0 : 1;
