Take a long answer with changes for a part of them

What callers would see: 404 while a box catches up with several changes, for routes that were added long ago.

Cause: an answer of a watch with changes confirmed everything that was acknowledged before the watch was sent. A store returns what is too long in parts (lists: some 500 objects or 1 MB); of eight configurations with 2,600 routes the first one came alone, and the box took itself for complete.

Evidence: ConfigurationDenialTest "A box that has received some of the changes" failed before (404 until the last part had come) and passes.

Why this works: an answer of half such a size or more confirms nothing. The watch after it is short, and confirms what the answer brought if there is nothing more.

--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -60,8 +60,10 @@
 // What the store answered: a list, or changes of one.
 struct StoreUpdate {
     std::vector<StoredObject> objects;
-    bool whole = false;  // The objects are all that there are, not changes.
-    // Everything acknowledged before this is covered. Nothing: it was read from a copy.
+    bool whole = false;   // The objects are all that there are, not changes.
+    bool isCopy = false;  // It may be behind the store.
+    // Everything acknowledged before this is covered. Nothing: it was read from a copy, or there
+    // may be more changes.
     std::optional<MonoTime> asOf;
     uint64_t revision = 0;
 };
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -170,7 +170,7 @@
         } else if (const auto* error = std::get_if<Error>(&object.content)) {
             m_configurationState.reject(*error);
             // A copy may be older than the configuration in force.
-            if (update.asOf) {
+            if (!update.isCopy) {
                 m_configurationState.noteUnreadable();
             }
         }
@@ -183,7 +183,7 @@
 // Whether the update comes from a copy of the store and its configuration is older than this box's.
 bool StoreController::isOlderCopy(const StoreUpdate& update,
                                   const StoredConfiguration& configuration) const {
-    return !update.asOf && m_configurationState.catalog() &&
+    return update.isCopy && m_configurationState.catalog() &&
            configuration.parts.version < m_configurationState.version();
 }
 
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -26,6 +26,14 @@
 // In milliseconds. A revision this old can still be watched from: well within the shortest history
 // of the stores so far (20 s).
 constexpr Millis kRecent = 5000;
+// Half of the smallest part in which the stores so far return what is too long for one answer.
+constexpr size_t kMinPartBytes = size_t{512} << 10;
+constexpr size_t kMinPartObjects = 250;
+
+// Whether changes of this size may lack others that were made before the answer.
+bool MayBePart(size_t bytes, size_t objects) {
+    return bytes >= kMinPartBytes || objects >= kMinPartObjects;
+}
 
 }  // namespace
 
@@ -169,7 +177,8 @@
 Task<Result<bool>> StoreWatch::list(ListSource source) {
     StoreUpdate update;
     update.whole = true;
-    if (source == ListSource::kStore) {
+    update.isCopy = source == ListSource::kCopy;
+    if (!update.isCopy) {
         update.asOf = ReadClocks().mono;
     }
     std::string after;
@@ -253,7 +262,10 @@
     update.revision = changes.value().revision;
     const bool unchanged = update.objects.empty();
     m_cause = unchanged ? StoreCallCause::kUnchanged : StoreCallCause::kChanged;
-    update.asOf = WatchConfirmedAsOf(sent, ReadClocks().mono, wait, unchanged);
+    // The next watch, a short one, confirms what the answer brought.
+    if (!MayBePart(body.size(), update.objects.size())) {
+        update.asOf = WatchConfirmedAsOf(sent, ReadClocks().mono, wait, unchanged);
+    }
     report(std::move(update));
     const Millis pause = unchanged ? 0 : m_sink.pauseAfterChanges();
     if (pause > 0) {
