--- a/tests/RefreshPlannerTest.cpp
+++ b/tests/RefreshPlannerTest.cpp
@@ -187,8 +187,8 @@
 
 }  // namespace
 
-// Guards against 404 and 401 for something that had to be in force (pcw-onyx-grown, CONFIG): the
-// age up to which a box denied what it did not know was derived from the bound on revoked keys.
+// Guards against 404 and 401 for something that had to be in force: the age up to which a box
+// denied what it did not know was derived from the bound on revoked keys.
 TEST_CASE("Boxes whose messages and processes are late deny nothing that has to be in force",
           "[long]") {
     const auto bounds =
