--- a/include/admission/Admission.h
+++ b/include/admission/Admission.h
@@ -70,9 +70,8 @@
                                        const AdmissionRequest& request);
 
 // Returns whether the configuration proves that a route or a credential that it lacks does not
-// exist: it is fresh, not older than the denial limit and the newest that the box knows of.
-// Preconditions: none. Thread safety: any
-// thread.
+// exist: it is fresh, not older than the denial limit, and the box knows of no newer one.
+// Preconditions: none. Thread safety: any thread.
 bool MayDeny(const AdmissionRules& rules, const AdmissionState& state);
 
 // Returns whether an admitted request may still be sent with a configuration of age `catalogAge`,
--- a/include/gateway/ConfigurationState.h
+++ b/include/gateway/ConfigurationState.h
@@ -27,6 +27,7 @@
     std::optional<Millis> age;           // In milliseconds.
     std::string confirmedBy;             // The source of the newest confirmation.
     std::optional<Millis> confirmedAgo;  // Time since this box received it, in milliseconds.
+    bool superseded = false;             // A newer one is known to exist.
 };
 
 // Not thread safe: one io_context.
--- a/src/gateway/ConfigurationState.cpp
+++ b/src/gateway/ConfigurationState.cpp
@@ -36,6 +36,7 @@
     if (m_catalog) {
         report.version = version();
     }
+    report.superseded = superseded();
     report.age = age(now);
     if (report.age) {
         report.confirmedBy = m_confirmedBy;
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -180,6 +180,7 @@
               {"configuration", NumberOr(configuration.version, "none")},
               {"knowledge_age_ms", NumberOr(configuration.age, "none")},
               {"bound_ms", std::to_string(bound)},
+              {"superseded", YesNo(configuration.superseded)},
               {"confirmed_by", configuration.confirmedBy},
               {"confirmed_ms_ago", NumberOr(configuration.confirmedAgo, "never")}});
     m_metrics.count("onyx_refusals_total",
--- a/tests/ConfigurationStateTest.cpp
+++ b/tests/ConfigurationStateTest.cpp
@@ -68,7 +68,10 @@
     state.confirm({50}, kStoreSource, {60});
     state.confirm({90}, "10.0.0.7:1", {95});
     state.confirm({70}, kStoreSource, {99});  // Older than what is known already.
+    CHECK_FALSE(state.report({100}).superseded);
+    state.noteVersion(5);
     const ConfigurationReport report = state.report({100});
+    CHECK(report.superseded);
     CHECK(report.version == 4);
     CHECK(report.age == Millis{10});
     CHECK(report.confirmedBy == "10.0.0.7:1");
