--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -31,6 +31,15 @@
     std::vector<std::string> sharedParts;  // Of the prompt, in its order; its own part is left out.
     int64_t promptTokens = 0;
     std::optional<uint64_t> lastEventId;
+    // The request that brought the first event of the stream that this one takes up; empty if the
+    // caller names none.
+    std::string resumes;
+
+    // Whether the caller has a part of the stream already. Preconditions: none.
+    bool takesUpStream() const { return lastEventId.has_value() || !resumes.empty(); }
+    // The request that brought, or is to bring, the first event of the stream: names the stream
+    // over all tries of its caller. Preconditions: none.
+    const std::string& streamId() const { return resumes.empty() ? id : resumes; }
 };
 
 // What the gateway sets on a request to an upstream.
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -23,6 +23,8 @@
 // How an attempt went, as its log line has it.
 struct AttemptReport {
     std::string upstream;
+    std::string version;  // Of the upstream's software; empty: unknown.
+    std::string stream;   // See CallerFacts::streamId().
     AttemptEnd end = AttemptEnd::kUnclear;
     bool timedOut = false;       // It ended for lack of time.
     bool unreachable = false;    // The upstream's machine gave no sign of life.
--- a/src/gateway/Attempt.cpp
+++ b/src/gateway/Attempt.cpp
@@ -35,6 +35,8 @@
     noteHealth(ended.end);
     AttemptReport report;
     report.upstream = upstream;
+    report.version = m_place.upstream.version;
+    report.stream = m_request.facts.streamId();
     report.end = ended.end;
     report.timedOut = ended.timedOut;
     report.unreachable = m_exchange->unreachable();
