Decide where the origins of streams are kept and when they are proved

A caller comes back to any box of its zone, and upstreams do not check which version began a stream, so the boxes have to know it.

Not used yet.

--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -104,6 +104,12 @@
     // Returns the number of upstreams of `service`. Preconditions: none.
     size_t count(const ServiceId& service) const;
 
+    // Numbers of upstreams by the version of their software.
+    using VersionCounts = std::map<std::string, size_t>;
+    // Returns the versions of each service, with the number of their upstreams.
+    // Preconditions: none.
+    const std::map<ServiceId, VersionCounts>& versions() const { return m_versions; }
+
     // Calls `visit` for the upstreams of `service` in the order of their hash ring, each once, from
     // the first one at or after `position`. Ends when `visit` returns false. All boxes have the
     // same order. Preconditions: `visit` does not change the table.
@@ -145,11 +151,14 @@
     static bool IsBefore(const RingNode& node, uint64_t position) {
         return node.position < position;
     }
+    void countVersion(const Upstream& upstream);
+    void uncountVersion(const Upstream& upstream);
     void addToRing(const Entry& entry);
     void removeFromRing(const Entry& entry);
 
     std::map<std::string, Entry> m_entries;
     std::map<ServiceId, Ring> m_rings;
+    std::map<ServiceId, VersionCounts> m_versions;
     std::unordered_map<uint32_t, const Entry*> m_byNumber;  // By the ShortHash of the id.
     std::deque<Removed> m_removed;
     uint64_t m_revision = 0;
--- a/src/membership/BoxDirectory.cpp
+++ b/src/membership/BoxDirectory.cpp
@@ -40,6 +40,7 @@
     const bool bringsZone = !box.zone.empty() && it->second.zone != box.zone;
     if (bringsZone) {
         it->second.zone = box.zone;
+        ++m_version;
     }
     if (isNew) {
         insertIntoRing(box.address);
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -15,9 +15,26 @@
     return static_cast<uint8_t>(1 + HashText(std::to_string(startedMs)) % kTagCount);
 }
 
+void UpstreamTable::countVersion(const Upstream& upstream) {
+    ++m_versions[upstream.service][upstream.version];
+}
+
+void UpstreamTable::uncountVersion(const Upstream& upstream) {
+    const auto service = m_versions.find(upstream.service);
+    const auto version = service->second.find(upstream.version);
+    if (--version->second == 0) {
+        service->second.erase(version);
+    }
+    if (service->second.empty()) {
+        m_versions.erase(service);
+    }
+}
+
 void UpstreamTable::put(Upstream upstream, MonoTime since, uint64_t revision) {
+    countVersion(upstream);
     const auto it = m_entries.find(upstream.id);
     if (it != m_entries.end()) {
+        uncountVersion(it->second.upstream);
         const int64_t before = it->second.upstream.startedMs;
         if (before != 0 && upstream.startedMs != before) {
             it->second.since = since;
@@ -76,6 +93,7 @@
     if (it == m_entries.end()) {
         return;
     }
+    uncountVersion(it->second.upstream);
     removeFromRing(it->second);
     const auto numbered = m_byNumber.find(ShortHash(id));
     if (numbered != m_byNumber.end() && numbered->second == &it->second) {
