Continue a stream that a caller takes up at the version that began it

Nobody read the caller's Resumes: a takeover was placed like a new request, at the same box as at another one.

A box that passes on the first event of a resumable stream records its origin and sends it to the stream's keepers as one datagram each, unless its history of the list proves that the service has one version. A box at which a caller takes a stream up looks the origin up: its own records, the keepers (100 ms at most, asked again after 40 ms), then the proof. Where none of them tells, the request is refused as not run with Retry-After 0.2 s. A new version gets no new streams for 1.5 s while another one has upstreams, so that a list of that age proves what it says. Relays of takeovers go only to boxes that keep origins.

--- a/include/admission/Admission.h
+++ b/include/admission/Admission.h
@@ -48,6 +48,7 @@
     std::optional<Millis> clientTimeout;  // How long the caller waits, in ms.
     MonoTime arrived;
     uint64_t randomValue = 0;  // Random number that picks one of the route's weighted services.
+    std::string_view service;  // The one that began the request's stream; empty: any of them.
 };
 
 // The route, service and team of an admitted request, all from one catalog. `route`, `spec` and
--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -26,6 +26,7 @@
     kNoRoute,               // The route does not exist.
     kUnknownCredential,     // The credential belongs to no team.
     kQuarantined,           // Upstreams crashed while running it, see RequestQuarantine.
+    kStreamOriginUnknown,   // It takes up a stream, and no box knows which version began it.
     kNoUpstream,            // No upstream accepted the request, and none ran it.
     kTimedOut,              // The last attempt timed out; the request may have run.
     kUnclear,               // The last attempt ended in another way; the request may have run.
@@ -50,6 +51,8 @@
 inline constexpr Millis kRetryAfterNoUpstreamMs = 200;
 // A box gets a configuration from the store or from a peer within about this time.
 inline constexpr Millis kRetryAfterNoConfigurationMs = 500;
+// A box that did not reply may reply to another box, or the records reach it in the meantime.
+inline constexpr Millis kRetryAfterStreamUnknownMs = 200;
 // Upper bound; the caller gets the remaining time of the quarantine.
 inline constexpr Millis kRetryAfterQuarantinedMs = RequestQuarantine::kRetentionMs;
 
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -85,6 +85,7 @@
     RolloutController m_rollouts;
     PeerSync m_sync;
     QuarantineController m_quarantine;
+    StreamController m_streams;
     ReachMonitor m_reach;
     RelayController m_relays;
     RequestContext m_context;
--- a/include/gateway/PeerMesh.h
+++ b/include/gateway/PeerMesh.h
@@ -31,6 +31,7 @@
     std::string address;
     std::string zone;
     std::vector<uint32_t> lostServices;  // It reaches none of their upstreams; ShortHash of names.
+    bool keepsStreamOrigins = false;     // It continues a stream only at the version that began it.
 };
 
 // Not thread safe: one io_context.
@@ -83,6 +84,11 @@
     // boxes agree. Preconditions: start() succeeded.
     std::vector<std::string> zoneOrder() const { return m_boxes->zoneOrder(); }
 
+    // All boxes of the site that this box knows, including itself, and a number that changes with
+    // them. Preconditions: start() succeeded.
+    std::vector<KnownBox> boxes() const { return m_boxes->all(); }
+    uint64_t boxesVersion() const { return m_boxes->version(); }
+
     // Keeps a link to `address` in addition to the links that BoxDirectory selects. An empty
     // address requests no additional link. Replaces the address of the last call.
     // Preconditions: none.
--- a/include/gateway/RelayController.h
+++ b/include/gateway/RelayController.h
@@ -22,6 +22,7 @@
     RegionRule regions;
     const std::set<std::string>& tried;  // Boxes that did not take the request.
     uint64_t draw = 0;                   // A random number.
+    bool takesUpStream = false;          // Only boxes that continue it at its version may get it.
 };
 
 // Not thread safe: one io_context.
--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -14,6 +14,7 @@
 #include "include/gateway/RelayController.h"
 #include "include/gateway/RequestLog.h"
 #include "include/gateway/RolloutController.h"
+#include "include/gateway/StreamController.h"
 #include "include/gateway/UpstreamList.h"
 #include "include/gateway/UpstreamRecords.h"
 #include "include/lifecycle/Drain.h"
@@ -37,6 +38,7 @@
     RequestLog& log;
     QuarantineController& quarantine;
     RolloutController& rollouts;
+    StreamController& streams;
     ReachMonitor& reach;
     RelayController& relays;
     std::minstd_rand random{std::random_device{}()};
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -5,6 +5,7 @@
 // Owns the request and what became of its attempts. Relies on RequestContext for the rest.
 #pragma once
 
+#include "include/base/Hash.h"
 #include "include/gateway/AnswerRelay.h"
 #include "include/gateway/Attempt.h"
 #include "include/gateway/CallerConnection.h"
@@ -40,10 +41,16 @@
     std::optional<Refusal> checkRelayed();
     std::optional<Refusal> checkRelayedService() const;
     Task<AfterAnswer> serve();
+    // Finds the version that began the stream which the request takes up; a refusal if no box knows
+    // it, nothing otherwise.
+    Task<std::optional<Refusal>> findStreamOrigin();
     void noteStreamBegun();
+    uint64_t streamHash() const { return HashText(m_facts.streamId()); }
+    Millis streamSpan() const;
     std::optional<AttemptPlace> place();
     PlacementQuestion placementQuestion(VersionRule versions) const;
     VersionRule versionRule(bool mayTry, MonoTime now) const;
+    VersionRule heldRule(bool mayTry, MonoTime now) const;
     uint64_t promptHash() const;
     void noteAnswer(const AttemptPlace& place, const AttemptReport& report);
     void noteLeftOut(Refusal& refusal) const;
@@ -87,9 +94,11 @@
     std::set<std::string> m_triedBoxes;       // To which the request was to be relayed.
     std::optional<Millis> m_relayRetryAfter;  // When the other box says that the caller may retry.
     std::optional<uint64_t> m_fingerprint;    // Once it was asked for.
-    // What began the request's stream, once its first event is on its way to the caller.
+    // What began the request's stream, once its first event is on its way to the caller, or at once
+    // where the caller takes the stream up.
     std::optional<StreamOrigin> m_streamOrigin;
-    std::string m_version;  // Of the upstream of the attempt under way; empty: unknown.
+    std::string m_version;          // Of the upstream of the attempt under way; empty: unknown.
+    bool m_streamRecorded = false;  // The origin was given to StreamController.
 };
 
 }  // namespace onyx
--- a/include/gateway/RequestLog.h
+++ b/include/gateway/RequestLog.h
@@ -11,6 +11,7 @@
 #include "include/gateway/ConnectionReport.h"
 #include "include/gateway/CrashDetector.h"
 #include "include/gateway/PlaceAttempt.h"
+#include "include/gateway/StreamController.h"
 #include "include/observe/Metrics.h"
 #include "include/relay/RequestAttempts.h"
 
@@ -78,6 +79,10 @@
     void attemptStarted(const CallerFacts& facts, int attempt, const AttemptPlace& place,
                         Millis after);
 
+    // A caller takes a stream up, and the search for the version that began it has ended.
+    // Preconditions: none.
+    void streamTakenUp(const CallerFacts& facts, const StreamOriginReport& report);
+
     // The request goes out to an upstream. Preconditions: none.
     void sent(const ServiceId& service);
 
--- /dev/null
+++ b/include/gateway/StreamController.h
@@ -0,0 +1,88 @@
+// Finds and announces the origins of streams: which service and software version began each of
+// them, so that whichever box a caller comes back to sends it to the same version.
+//
+// Owns the datagram socket on which boxes exchange origins, and the queries under way. Relies on
+// StreamOriginExchange for all decisions, on UpstreamList for the versions that are listed and on
+// PeerMesh for the boxes of the site.
+#pragma once
+
+#include "include/gateway/PeerMesh.h"
+#include "include/gateway/StreamOriginExchange.h"
+#include "include/gateway/UpstreamList.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace onyx {
+
+// What a takeover's log line says of the search for the stream's origin.
+struct StreamOriginReport {
+    FoundOrigin found;
+    size_t asked = 0;    // Boxes that were queried.
+    size_t replied = 0;  // Those of them that replied.
+    Millis took = 0;
+};
+
+// Not thread safe: one io_context.
+class StreamController {
+public:
+    // Longest time in milliseconds that a caller waits for the replies of other boxes.
+    static constexpr Millis kQueryTimeout = 100;
+
+    // Preconditions: all arguments outlive the controller.
+    StreamController(asio::io_context& io, const GatewaySettings& settings,
+                     const UpstreamList& upstreams, PeerMesh& mesh, Metrics& metrics);
+
+    // Opens the socket on the address of this box's links. Errors: kUnavailable.
+    // Preconditions: the mesh was started; called once.
+    Result<bool> start();
+
+    // Records that this box passed on the first event of a stream that its caller can take up until
+    // `until`. `span`: how long streams of its route can last, in milliseconds.
+    // Preconditions: none.
+    void begin(uint64_t stream, const StreamOrigin& origin, Millis span, MonoTime until);
+    // Records that the stream no longer runs here. Preconditions: none.
+    void end(uint64_t stream) { m_exchange->end(stream); }
+
+    // Finds the origin of a stream, within kQueryTimeout. Preconditions: start() succeeded.
+    Task<StreamOriginReport> find(uint64_t stream, std::string service, Millis span);
+
+    // The versions of `service` that get no new streams yet. Preconditions: start() succeeded.
+    std::set<std::string> heldBack(const ServiceId& service) const {
+        return m_exchange->versions().heldBack(service);
+    }
+
+private:
+    using Udp = asio::ip::udp;
+    struct OpenQuery {
+        StreamOriginQuery query;
+        asio::steady_timer done;  // Cancelled when the query is complete.
+    };
+
+    Task<> receive();
+    Task<> run();
+    void handle(const Udp::endpoint& from, std::span<const char> datagram);
+    void send(const std::string& box, const std::string& frame);
+    void sendAll(std::span<const OutgoingFrame> frames);
+    void sendTo(const std::set<std::string>& boxes, const std::string& frame);
+
+    asio::io_context& m_io;
+    const UpstreamList& m_upstreams;
+    PeerMesh& m_mesh;
+    Metrics& m_metrics;
+    std::string m_zone;
+    Udp::socket m_socket;
+    std::optional<StreamOriginExchange> m_exchange;  // Set once this box knows its address.
+    std::unordered_map<uint64_t, std::vector<std::shared_ptr<OpenQuery>>> m_queries;
+    uint64_t m_directoryVersion = 0;
+};
+
+}  // namespace onyx
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -54,6 +54,7 @@
     kRequestQuarantined = 2007,
     kAllLeftOut = 2008,
     kRequestRelayed = 2009,
+    kStreamTakenUp = 2010,
     kUpstreamChanged = 2100,
     kUpstreamEjected = 2101,
     kObjectBad = 2102,
--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -27,6 +27,12 @@
     return std::nullopt;
 }
 
+bool LeadsTo(const Route& route, std::string_view service) {
+    return std::any_of(
+        route.services.begin(), route.services.end(),
+        [&](const WeightedService& weighted) { return weighted.service.value == service; });
+}
+
 }  // namespace
 
 std::variant<Admission, Refusal> Admit(const AdmissionRules& rules, const AdmissionState& state,
@@ -53,7 +59,12 @@
     if (const auto reason = FindTeam(request.credential, mayDeny, admission)) {
         return MakeRefusal(*reason);
     }
-    admission.service = PickService(*route, request.randomValue);
+    const bool isFixed = !request.service.empty();
+    if (isFixed && !LeadsTo(*route, request.service)) {
+        return MakeRefusal(RefusalReason::kNoUpstream);
+    }
+    admission.service = isFixed ? ServiceId{std::string(request.service)}
+                                : PickService(*route, request.randomValue);
     admission.spec = admission.catalog->findService(admission.service);
     const Millis clientTimeout = request.clientTimeout.value_or(route->timeout);
     admission.deadline = request.arrived + std::min(clientTimeout, route->timeout);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -57,12 +57,13 @@
       m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
              m_mesh),
       m_quarantine(io, m_records, m_upstreams, m_mesh, m_log),
+      m_streams(io, settings, m_upstreams, m_mesh, m_metrics),
       m_reach(io, m_upstreams, m_metrics,
               [this](const ServiceId& service, bool lost) { onReachChange(service, lost); }),
       m_relays(settings, m_mesh),
       m_context{io,         settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
                 m_records,  m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
-                m_rollouts, m_reach,   m_relays},
+                m_rollouts, m_streams, m_reach,     m_relays},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -79,6 +80,7 @@
     BOOST_OUTCOME_TRY(m_callers.start());
     BOOST_OUTCOME_TRY(m_status.start(m_io));
     BOOST_OUTCOME_TRY(m_mesh.start());
+    BOOST_OUTCOME_TRY(m_streams.start());
     m_store.start();
     Spawn(m_io.get_executor(), trimConnections());
     Spawn(m_io.get_executor(), m_sync.run());
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -60,6 +60,7 @@
     hello.takes_load_reports = true;
     hello.takes_crash_reports = true;
     hello.takes_relayed_requests = true;
+    hello.keeps_stream_origins = true;
     hello.build = BuildId();
     return hello;
 }
@@ -82,7 +83,8 @@
     for (const auto& [address, peer] : m_links) {
         const wire::HelloT& hello = peer.link->peer();
         if (hello.takes_relayed_requests) {
-            boxes.push_back({address, hello.zone, peer.lostServices});
+            boxes.push_back(
+                {address, hello.zone, peer.lostServices, hello.keeps_stream_origins});
         }
     }
     return boxes;
--- a/src/gateway/RelayController.cpp
+++ b/src/gateway/RelayController.cpp
@@ -29,7 +29,8 @@
         candidate.sameZone = box.zone == m_settings.zone;
         candidate.reachesService = std::find(lost.begin(), lost.end(), service) == lost.end() &&
                                    !isUnavailable(box.address, question.service, now);
-        candidate.allowed = IsZoneAllowed(m_settings, question.regions, box.zone);
+        candidate.allowed = IsZoneAllowed(m_settings, question.regions, box.zone) &&
+                            (!question.takesUpStream || box.keepsStreamOrigins);
         candidate.tried = question.tried.contains(box.address);
         const auto relayed = m_relayed.find(box.address);
         candidate.relayed = relayed == m_relayed.end() ? 0 : relayed->second;
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -55,6 +55,9 @@
     } else {
         after = co_await serve();
     }
+    if (m_streamRecorded) {
+        m_context.streams.end(streamHash());
+    }
     m_context.lifecycle.recordRequestEnd();
     co_return after;
 }
@@ -98,7 +101,8 @@
     const MonoTime now = ReadClocks().mono;
     const AdmissionRequest request{
         m_message[http::field::host], m_message.target(), m_facts.credential,
-        m_facts.clientTimeout,        m_arrived,          m_draw};
+        m_facts.clientTimeout,        m_arrived,          m_draw,
+        m_streamOrigin ? std::string_view(m_streamOrigin->service) : std::string_view()};
     const AdmissionState knowledge =
         KnowledgeOf(m_context.configuration, m_context.upstreams, m_context.lifecycle, now);
     m_decidedOn = m_context.configuration.report(now);
@@ -132,13 +136,46 @@
     return refusal;
 }
 
+// How long streams of the route can last. A route with several services leaves open which of them
+// began a stream, so that only a record tells its origin.
+Millis RequestHandler::streamSpan() const {
+    const Route& route = *m_admission.route;
+    return route.services.size() > 1 ? 2 * VersionHistory::kRetentionMs
+                                     : std::max(VersionHistory::kMinStreamMs, route.timeout);
+}
+
+Task<std::optional<Refusal>> RequestHandler::findStreamOrigin() {
+    if (!m_admission.route->stream || !m_facts.takesUpStream()) {
+        co_return std::nullopt;
+    }
+    const std::string service = m_admission.service.value;
+    const StreamOriginReport report =
+        co_await m_context.streams.find(streamHash(), service, streamSpan());
+    m_context.log.streamTakenUp(m_facts, report);
+    if (report.found.source == StreamOriginSource::kUnknown) {
+        co_return MakeRefusal(RefusalReason::kStreamOriginUnknown);
+    }
+    m_streamOrigin = report.found.origin;
+    co_return admit();
+}
+
+// Runs before the first event goes to the caller, so that a caller that comes back finds the record.
 void RequestHandler::noteStreamBegun() {
     if (!m_streamOrigin) {
         m_streamOrigin = StreamOrigin{m_admission.service.value, m_version};
     }
+    if (!m_admission.route->resumable || m_streamOrigin->version.empty()) {
+        return;
+    }
+    m_streamRecorded = true;
+    const Millis timeout = m_facts.clientTimeout.value_or(m_admission.route->timeout);
+    m_context.streams.begin(streamHash(), *m_streamOrigin, streamSpan(), m_arrived + timeout);
 }
 
 Task<AfterAnswer> RequestHandler::serve() {
+    if (const auto refusal = co_await findStreamOrigin()) {
+        co_return co_await refuse(*refusal);
+    }
     while (true) {
         if (shouldRelay()) {
             const std::optional<Verdict> relayed = co_await relay();
@@ -200,7 +237,8 @@
 Task<std::optional<Verdict>> RequestHandler::relay() {
     const RegionRule regions{&m_admission.route->allowedRegions, m_admission.teamAllowedRegions};
     while (m_triedBoxes.size() < kMaxRelayBoxes) {
-        const RelayQuestion question{m_admission.service, regions, m_triedBoxes, m_draw};
+        const RelayQuestion question{m_admission.service, regions, m_triedBoxes, m_draw,
+                                     m_facts.takesUpStream()};
         const auto box = m_context.relays.choose(question, ReadClocks().mono);
         if (!box) {
             break;
@@ -241,13 +279,14 @@
 }
 
 // A first attempt may go to a version that is on trial; where that one has no upstream that may be
-// chosen, and for a retry, the version in service gets the request.
+// chosen, and for a retry, the version in service gets the request. A version that is new gets no
+// streams while another one has upstreams.
 std::optional<AttemptPlace> RequestHandler::place() {
     const MonoTime now = ReadClocks().mono;
     m_context.records.expirePeerLoads(now);
-    auto place = PlaceAttempt(m_context.placement(),
-                              placementQuestion(versionRule(m_tried.empty(), now)), now);
-    if (!place && !m_streamOrigin && m_tried.empty()) {
+    auto place =
+        PlaceAttempt(m_context.placement(), placementQuestion(heldRule(m_tried.empty(), now)), now);
+    if (!place && !m_streamOrigin) {
         place =
             PlaceAttempt(m_context.placement(), placementQuestion(versionRule(false, now)), now);
     }
@@ -269,6 +308,20 @@
     return m_context.rollouts.ruleFor(m_admission.service, promptHash(), mayTry, now);
 }
 
+VersionRule RequestHandler::heldRule(bool mayTry, MonoTime now) const {
+    VersionRule rule = versionRule(mayTry, now);
+    if (m_streamOrigin || !m_admission.route->resumable) {
+        return rule;
+    }
+    std::set<std::string> held = m_context.streams.heldBack(m_admission.service);
+    if (auto* without = std::get_if<WithoutVersions>(&rule)) {
+        without->versions.merge(held);
+    } else if (std::holds_alternative<AnyVersion>(rule) && !held.empty()) {
+        rule = WithoutVersions{std::move(held)};
+    }
+    return rule;
+}
+
 uint64_t RequestHandler::promptHash() const {
     return m_facts.sharedParts.empty() ? m_draw : HashText(m_facts.sharedParts.back());
 }
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -62,6 +62,20 @@
               {"after_ms", std::to_string(after)}});
 }
 
+void RequestLog::streamTakenUp(const CallerFacts& facts, const StreamOriginReport& report) {
+    const std::string source(StreamOriginSourceName(report.found.source));
+    m_metrics.count("onyx_streams_taken_up_total", {{"source", source}});
+    logEvent(Event::kStreamTakenUp, {{"request", facts.id},
+                                     {"stream", facts.streamId()},
+                                     {"last_event", NumberOr(facts.lastEventId, "none")},
+                                     {"source", source},
+                                     {"service", report.found.origin.service},
+                                     {"version", report.found.origin.version},
+                                     {"asked", std::to_string(report.asked)},
+                                     {"replied", std::to_string(report.replied)},
+                                     {"took_ms", std::to_string(report.took)}});
+}
+
 void RequestLog::sent(const ServiceId& service) {
     m_metrics.count("onyx_sends_total", {{"service", service.value}});
 }
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -58,6 +58,7 @@
     {Event::kRequestQuarantined, "request-quarantined"},
     {Event::kAllLeftOut, "all-upstreams-left-out"},
     {Event::kRequestRelayed, "request-relayed"},
+    {Event::kStreamTakenUp, "stream-taken-up"},
     {Event::kCallerBad, "caller-bad"},
     {Event::kUpstreamChanged, "upstream-changed"},
     {Event::kUpstreamEjected, "upstream-ejected"},
