Recognize streams that their callers do not name by what is asked for

They are now found by the request's fingerprint, provided that all streams with that fingerprint began at one version: a record that gets two origins names none, and the replies of all keepers are waited for.

--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -5,7 +5,6 @@
 // Owns the request and what became of its attempts. Relies on RequestContext for the rest.
 #pragma once
 
-#include "include/base/Hash.h"
 #include "include/gateway/AnswerRelay.h"
 #include "include/gateway/Attempt.h"
 #include "include/gateway/CallerConnection.h"
@@ -45,7 +44,8 @@
     // it, nothing otherwise.
     Task<std::optional<Refusal>> findStreamOrigin();
     void noteStreamBegun();
-    uint64_t streamHash() const { return HashText(m_facts.streamId()); }
+    // How the stream is found again; by what is asked for where the caller names no request.
+    std::vector<StreamKey> streamKeys();
     Millis streamSpan() const;
     std::optional<AttemptPlace> place();
     PlacementQuestion placementQuestion(VersionRule versions) const;
--- a/include/gateway/StreamController.h
+++ b/include/gateway/StreamController.h
@@ -47,13 +47,13 @@
 
     // Records that this box passed on the first event of a stream that its caller can take up until
     // `until`. `span`: how long streams of its route can last, in milliseconds.
-    // Preconditions: none.
-    void begin(uint64_t stream, const StreamOrigin& origin, Millis span, MonoTime until);
-    // Records that the stream no longer runs here. Preconditions: none.
-    void end(uint64_t stream) { m_exchange->end(stream); }
+    // Preconditions: start() succeeded.
+    void begin(const StreamKey& stream, const StreamOrigin& origin, Millis span, MonoTime until);
+    // Records that the stream no longer runs here. Preconditions: as above.
+    void end(const StreamKey& stream) { m_exchange->end(stream.hash); }
 
     // Finds the origin of a stream, within kQueryTimeout. Preconditions: start() succeeded.
-    Task<StreamOriginReport> find(uint64_t stream, std::string service, Millis span);
+    Task<StreamOriginReport> find(StreamKey stream, std::string service, Millis span);
 
     // The versions of `service` that get no new streams yet. Preconditions: start() succeeded.
     std::set<std::string> heldBack(const ServiceId& service) const {
--- a/include/gateway/StreamOriginExchange.h
+++ b/include/gateway/StreamOriginExchange.h
@@ -44,19 +44,36 @@
     StreamOrigin origin;  // Empty if unknown.
 };
 
+// How a stream is named in records and queries. Callers that take a stream up without naming the
+// request that began it are recognized by what they ask for, as far as all streams with that
+// fingerprint have one origin.
+struct StreamKey {
+    uint64_t hash = 0;
+    bool isExact = true;  // It stands for one stream: a hash of the id of the request that began it.
+
+    static StreamKey OfId(std::string_view id);
+    static StreamKey OfFingerprint(uint64_t fingerprint);
+};
+
 // A query for the origin of one stream. Not thread safe: one task owns it.
 class StreamOriginQuery {
 public:
-    // `asked`: the boxes that are queried. `own`: what this box can prove. `ownSeveral`: its list
-    // had several versions. Preconditions: none.
-    StreamOriginQuery(StreamOrigin wanted, Millis span, std::set<std::string> asked,
-                      std::optional<OnlyVersionProof> own, bool ownSeveral);
+    // What the box that queries knows itself.
+    struct Own {
+        std::optional<StreamOrigin> record;
+        std::optional<OnlyVersionProof> proof;
+        bool several = false;  // Its list had several versions.
+    };
+
+    // `isExact`: see StreamKey. `asked`: the boxes that are queried. Preconditions: none.
+    StreamOriginQuery(std::string service, bool isExact, Millis span, std::set<std::string> asked,
+                      Own own);
 
     // Takes in the reply of the box `from`. Preconditions: none.
     void handleReply(const std::string& from, const wire::StreamOriginReplyT& reply);
 
-    // Whether no further reply can change the result. Preconditions: none.
-    bool isComplete() const { return m_found.has_value() || m_open.empty(); }
+    // Whether no reply is needed or will come any more. Preconditions: none.
+    bool isComplete() const { return (m_isExact && m_found) || m_open.empty(); }
     // The boxes that have not replied. Preconditions: none.
     const std::set<std::string>& open() const { return m_open; }
 
@@ -65,11 +82,13 @@
 
 private:
     std::string m_service;
+    bool m_isExact;
     Millis m_span;
     std::set<std::string> m_open;
     std::vector<OnlyVersionProof> m_proofs;
     bool m_several;
     std::optional<StreamOrigin> m_found;
+    bool m_ownRecord;
 };
 
 // Not thread safe: one task owns it.
@@ -106,12 +125,9 @@
     // Returns the reply to another box's query. Preconditions: as for begin().
     wire::StreamOriginReplyT reply(const wire::StreamOriginAskT& ask, MonoTime now) const;
 
-    // Returns the origin of `stream` if this box has the record. Preconditions: as for begin().
-    std::optional<StreamOrigin> find(uint64_t stream, MonoTime now) const {
-        return m_records.find(stream, now);
-    }
     // Starts a query for `stream`, which must be one of `service`. Preconditions: as for begin().
-    StreamOriginQuery query(uint64_t stream, const std::string& service, Millis span) const;
+    StreamOriginQuery query(const StreamKey& stream, const std::string& service, Millis span,
+                            MonoTime now) const;
 
     // Returns the number of records. Preconditions: none.
     size_t recordCount() const { return m_records.size(); }
--- a/include/relay/StreamRecords.h
+++ b/include/relay/StreamRecords.h
@@ -16,7 +16,7 @@
 // What began a stream: its events can only be continued by the same.
 struct StreamOrigin {
     std::string service;
-    std::string version;  // Of the upstream's software.
+    std::string version;  // Of the upstream's software; empty: records disagree.
     friend bool operator==(const StreamOrigin&, const StreamOrigin&) = default;
 };
 
@@ -26,8 +26,9 @@
     // Bound on records. Beyond it the one that expires first is dropped.
     static constexpr size_t kMaxRecords = 16384;
 
-    // Keeps the origin of `stream` until `until`. A stream has one origin: a later record of it
-    // only extends the time. Preconditions: `now` does not decrease between calls.
+    // Keeps the origin of `stream` until `until`. A key that stands for several streams, such as a
+    // fingerprint, may get different origins: its version is empty from then on.
+    // Preconditions: `now` does not decrease between calls.
     void put(uint64_t stream, const StreamOrigin& origin, MonoTime until, MonoTime now);
 
     // Returns the origin of `stream`, or nullopt if it is not on record.
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -56,7 +56,9 @@
         after = co_await serve();
     }
     if (m_streamRecorded) {
-        m_context.streams.end(streamHash());
+        for (const StreamKey& key : streamKeys()) {
+            m_context.streams.end(key);
+        }
     }
     m_context.lifecycle.recordRequestEnd();
     co_return after;
@@ -144,13 +146,19 @@
                                      : std::max(VersionHistory::kMinStreamMs, route.timeout);
 }
 
+std::vector<StreamKey> RequestHandler::streamKeys() {
+    return {StreamKey::OfId(m_facts.streamId()), StreamKey::OfFingerprint(fingerprint())};
+}
+
 Task<std::optional<Refusal>> RequestHandler::findStreamOrigin() {
     if (!m_admission.route->stream || !m_facts.takesUpStream()) {
         co_return std::nullopt;
     }
-    const std::string service = m_admission.service.value;
+    const StreamKey key = m_facts.resumes.empty() ? StreamKey::OfFingerprint(fingerprint())
+                                                  : StreamKey::OfId(m_facts.resumes);
+    std::string service = m_admission.service.value;
     const StreamOriginReport report =
-        co_await m_context.streams.find(streamHash(), service, streamSpan());
+        co_await m_context.streams.find(key, std::move(service), streamSpan());
     m_context.log.streamTakenUp(m_facts, report);
     if (report.found.source == StreamOriginSource::kUnknown) {
         co_return MakeRefusal(RefusalReason::kStreamOriginUnknown);
@@ -169,7 +177,9 @@
     }
     m_streamRecorded = true;
     const Millis timeout = m_facts.clientTimeout.value_or(m_admission.route->timeout);
-    m_context.streams.begin(streamHash(), *m_streamOrigin, streamSpan(), m_arrived + timeout);
+    for (const StreamKey& key : streamKeys()) {
+        m_context.streams.begin(key, *m_streamOrigin, streamSpan(), m_arrived + timeout);
+    }
 }
 
 Task<AfterAnswer> RequestHandler::serve() {
--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -131,24 +131,21 @@
     }
 }
 
-void StreamController::begin(uint64_t stream, const StreamOrigin& origin, Millis span,
+void StreamController::begin(const StreamKey& stream, const StreamOrigin& origin, Millis span,
                              MonoTime until) {
-    sendAll(m_exchange->begin(stream, origin, span, until, ReadClocks().mono));
+    sendAll(m_exchange->begin(stream.hash, origin, span, until, ReadClocks().mono));
 }
 
-Task<StreamOriginReport> StreamController::find(uint64_t stream, std::string service, Millis span) {
+Task<StreamOriginReport> StreamController::find(StreamKey stream, std::string service,
+                                                Millis span) {
     const MonoTime start = ReadClocks().mono;
     StreamOriginReport report;
-    if (auto origin = m_exchange->find(stream, start)) {
-        report.found = {StreamOriginSource::kOwnRecord, std::move(*origin)};
-        co_return report;
-    }
     const auto open = std::make_shared<OpenQuery>(
-        OpenQuery{m_exchange->query(stream, service, span), asio::steady_timer(m_io)});
+        OpenQuery{m_exchange->query(stream, service, span, start), asio::steady_timer(m_io)});
     report.asked = open->query.open().size();
-    m_queries[stream].push_back(open);
+    m_queries[stream.hash].push_back(open);
     wire::StreamOriginAskT question;
-    question.stream = stream;
+    question.stream = stream.hash;
     question.service = service;
     question.span_ms = static_cast<uint32_t>(span);
     const std::string frame = EncodeMessage(std::move(question));
@@ -161,9 +158,9 @@
         boost::system::error_code ec;
         co_await open->done.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    std::erase(m_queries[stream], open);
-    if (m_queries[stream].empty()) {
-        m_queries.erase(stream);
+    std::erase(m_queries[stream.hash], open);
+    if (m_queries[stream.hash].empty()) {
+        m_queries.erase(stream.hash);
     }
     report.found = open->query.result();
     report.replied = report.asked - open->query.open().size();
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -1,5 +1,6 @@
 #include "include/gateway/StreamOriginExchange.h"
 
+#include "include/base/Hash.h"
 #include "include/wire/FrameCodec.h"
 
 #include <algorithm>
@@ -34,14 +35,26 @@
     return "invalid";
 }
 
-StreamOriginQuery::StreamOriginQuery(StreamOrigin wanted, Millis span, std::set<std::string> asked,
-                                     std::optional<OnlyVersionProof> own, bool ownSeveral)
-    : m_service(std::move(wanted.service)),
+StreamKey StreamKey::OfId(std::string_view id) {
+    return {HashText(id), true};
+}
+
+StreamKey StreamKey::OfFingerprint(uint64_t fingerprint) {
+    constexpr uint64_t kSalt = 1;  // Keeps fingerprints apart from hashes of ids.
+    return {HashPair(fingerprint, kSalt), false};
+}
+
+StreamOriginQuery::StreamOriginQuery(std::string service, bool isExact, Millis span,
+                                     std::set<std::string> asked, Own own)
+    : m_service(std::move(service)),
+      m_isExact(isExact),
       m_span(span),
       m_open(std::move(asked)),
-      m_several(ownSeveral) {
-    if (own) {
-        m_proofs.push_back(std::move(*own));
+      m_several(own.several),
+      m_found(std::move(own.record)),
+      m_ownRecord(m_found.has_value()) {
+    if (own.proof) {
+        m_proofs.push_back(std::move(*own.proof));
     }
 }
 
@@ -50,8 +63,13 @@
     if (m_open.erase(from) == 0) {
         return;
     }
-    if (reply.origin && !reply.origin->version.empty()) {
-        m_found = StreamOrigin{reply.origin->service, reply.origin->version};
+    if (reply.origin) {
+        const StreamOrigin origin{reply.origin->service, reply.origin->version};
+        if (m_found && *m_found != origin) {
+            m_found->version.clear();
+        } else {
+            m_found = origin;
+        }
     }
     m_several = m_several || reply.several;
     if (!reply.only_version.empty()) {
@@ -62,7 +80,10 @@
 
 FoundOrigin StreamOriginQuery::result() const {
     if (m_found) {
-        return {StreamOriginSource::kPeerRecord, *m_found};
+        const bool agreed = !m_found->version.empty();
+        const auto source =
+            m_ownRecord ? StreamOriginSource::kOwnRecord : StreamOriginSource::kPeerRecord;
+        return agreed ? FoundOrigin{source, *m_found} : FoundOrigin{};
     }
     const auto proved = m_several ? std::nullopt : ProvedVersion(m_proofs, m_span);
     if (proved) {
@@ -124,7 +145,7 @@
 
 void StreamOriginExchange::handleOrigins(const wire::StreamOriginsT& origins, MonoTime now) {
     for (const auto& entry : origins.origins) {
-        if (entry && !entry->version.empty()) {
+        if (entry) {
             const Millis left = std::min(Millis{entry->left_ms}, kMaxRecordMs);
             m_records.put(entry->stream, {entry->service, entry->version}, now + left, now);
         }
@@ -152,17 +173,21 @@
     return reply;
 }
 
-StreamOriginQuery StreamOriginExchange::query(uint64_t stream, const std::string& service,
-                                              Millis span) const {
+StreamOriginQuery StreamOriginExchange::query(const StreamKey& stream, const std::string& service,
+                                              Millis span, MonoTime now) const {
     std::set<std::string> asked;
-    for (const std::string& box : m_keepers.keepersOf(stream, m_zone)) {
+    for (const std::string& box : m_keepers.keepersOf(stream.hash, m_zone)) {
         if (box != m_self) {
             asked.insert(box);
         }
     }
     const ServiceId id{service};
-    return {{service, {}}, span, std::move(asked), m_versions.onlyVersion(id, span),
-            m_versions.hadSeveral(id, span)};
+    return {service,
+            stream.isExact,
+            span,
+            std::move(asked),
+            {m_records.find(stream.hash, now), m_versions.onlyVersion(id, span),
+             m_versions.hadSeveral(id, span)}};
 }
 
 }  // namespace onyx
--- a/src/relay/StreamRecords.cpp
+++ b/src/relay/StreamRecords.cpp
@@ -15,7 +15,12 @@
             dropFirst();
         }
         m_records.emplace(stream, Record{origin, m_expiry.emplace(until, stream)});
-    } else if (it->second.expiry->first < until) {
+        return;
+    }
+    if (it->second.origin != origin) {
+        it->second.origin.version.clear();
+    }
+    if (it->second.expiry->first < until) {
         m_expiry.erase(it->second.expiry);
         it->second.expiry = m_expiry.emplace(until, stream);
     }
--- a/tests/StreamOriginReplayTest.cpp
+++ b/tests/StreamOriginReplayTest.cpp
@@ -215,11 +215,8 @@
         look(box);
         const bool late = m_now.ms >= kSecondVersion;
         StreamOriginExchange& exchange = *m_boxes[box].exchange;
-        if (const auto origin = exchange.find(stream, m_now)) {
-            return count({StreamOriginSource::kOwnRecord, *origin}, version, late);
-        }
         const auto query = std::make_shared<Query>(
-            Query{exchange.query(stream, kService, kSpan), version, late});
+            Query{exchange.query({stream, true}, kService, kSpan, m_now), version, late});
         m_queries[stream] = query;
         ask(box, stream, *query);
         at(m_now + kAskAgain, [this, box, stream, query] {
