--- a/include/gateway/CrashDetector.h
+++ b/include/gateway/CrashDetector.h
@@ -28,6 +28,7 @@
 struct InterruptedAttempt {
     std::string request;       // The id of the request.
     uint64_t fingerprint = 0;  // See RequestFingerprint.
+    std::vector<std::string> sharedParts;  // Of the request's prompt.
     MonoTime sent;
     MonoTime ended;
 };
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -397,7 +397,7 @@
 void RequestHandler::noteBroken(const Upstream& upstream, const AttemptReport& report) {
     const MonoTime now = ReadClocks().mono;
     m_context.quarantine.noteInterruptedAttempt(
-        upstream, {m_facts.id, fingerprint(), now - report.took, now});
+        upstream, {m_facts.id, fingerprint(), m_facts.sharedParts, now - report.took, now});
 }
 
 Verdict RequestHandler::judge(AttemptEnd end) {
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -6,6 +6,7 @@
 #include "include/observe/Events.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace onyx {
 
@@ -157,6 +158,7 @@
     logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
                                        {"request", attempt.request},
                                        {"fingerprint", FingerprintText(attempt.fingerprint)},
+                                       {"parts", fmt::format("{}", fmt::join(attempt.sharedParts, ","))},
                                        {"ran_ms", std::to_string(attempt.ended - attempt.sent)}});
 }
 
