Keep parts of prompts that crash upstreams from them

The quarantine knew whole requests only: of 55 fingerprints in the collected logs, 53 were seen once.

Each shared part of an interrupted attempt's prompt is now recorded like its request, with a fingerprint of its own, and spreads the same way.

--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -26,6 +26,7 @@
     kNoRoute,               // The route does not exist.
     kUnknownCredential,     // The credential belongs to no team.
     kQuarantined,           // Upstreams crashed while running it, see RequestQuarantine.
+    kPartQuarantined,       // The same while running requests with a part of its prompt.
     kStreamOriginUnknown,   // It takes up a stream, and no box knows which version began it.
     kNoUpstream,            // No upstream accepted the request, and none ran it.
     kTimedOut,              // The last attempt timed out; the request may have run.
@@ -35,10 +36,11 @@
 // An answer that this box gives itself.
 struct Refusal {
     RefusalReason reason = RefusalReason::kNoUpstream;
-    unsigned status = 503;             // HTTP status.
-    std::string text;                  // For callers, logs and metrics.
-    std::optional<Millis> retryAfter;  // In milliseconds; nullopt if a retry would not help, or
-                                       // if the request may have run.
+    unsigned status = 503;                // HTTP status.
+    std::string text;                     // For callers, logs and metrics.
+    std::optional<Millis> retryAfter;     // In milliseconds; nullopt if a retry would not help, or
+                                          // if the request may have run.
+    std::optional<uint64_t> fingerprint;  // The one in quarantine for which it is refused.
 };
 
 // Times after which callers may retry, in milliseconds. They are chosen so that a retry finds the
--- a/include/gateway/AnswerRelay.h
+++ b/include/gateway/AnswerRelay.h
@@ -38,8 +38,8 @@
                 std::optional<uint64_t> lastEvent)
         : m_lifecycle(lifecycle), m_caller(caller), m_lastEvent(lastEvent) {}
 
-    // Sets what is called once, before the first event of the answer, or the first bytes of one that
-    // is no stream of events, go to the caller; a head or comments alone do not count.
+    // Sets what is called once, before the first event of the answer, or the first bytes of one
+    // that is no stream of events, go to the caller; a head or comments alone do not count.
     // Preconditions: none.
     void setBeginHandler(std::function<void()> handler) { m_onBegin = std::move(handler); }
 
--- a/include/gateway/CrashDetector.h
+++ b/include/gateway/CrashDetector.h
@@ -26,8 +26,8 @@
 
 // An attempt that was running at an upstream when its connection ended.
 struct InterruptedAttempt {
-    std::string request;       // The id of the request.
-    uint64_t fingerprint = 0;  // See RequestFingerprint.
+    std::string request;                   // The id of the request.
+    uint64_t fingerprint = 0;              // See RequestFingerprint.
     std::vector<std::string> sharedParts;  // Of the request's prompt.
     MonoTime sent;
     MonoTime ended;
--- a/include/gateway/CrashExchange.h
+++ b/include/gateway/CrashExchange.h
@@ -41,6 +41,10 @@
     // Records that an upstream answered the request through this box. Preconditions: as above.
     void noteAnswer(uint64_t request, MonoTime now);
 
+    // Records a whole answer to a request with a part of a prompt, whose attempt began at `sent`.
+    // Preconditions: as above.
+    void notePartAnswer(uint64_t part, MonoTime sent, MonoTime now);
+
     // Applies the crashes and answers that the box `from` reports. Returns the requests that this
     // puts in quarantine. Preconditions: as above.
     std::vector<uint64_t> handleReports(const std::string& from, const wire::CrashReportsT& reports,
@@ -98,6 +102,7 @@
     bool isSuspect(uint64_t request) const { return m_quarantine.crashCount(request) > 1; }
     bool recordCrash(const CrashObservation& observation, Origin origin, MonoTime now);
     void recordAnswer(uint64_t request, MonoTime at, Origin origin, MonoTime now);
+    void passAnswerOn(uint64_t request, MonoTime at, bool wasSuspected);
     void queueObservations(uint64_t request, int roundsLeft, MonoTime now);
     void queueAnswer(const PendingAnswer& pending);
     void noteRedundantReport(const CrashObservation& observation);
--- a/include/gateway/QuarantineController.h
+++ b/include/gateway/QuarantineController.h
@@ -25,10 +25,11 @@
     QuarantineController(asio::io_context& io, const UpstreamRecords& records,
                          const UpstreamList& upstreams, PeerMesh& mesh, RequestLog& log);
 
-    // Returns the remaining quarantine of the request in milliseconds, or nothing if the request is
-    // not in quarantine. Preconditions: none.
-    std::optional<Millis> timeLeft(uint64_t fingerprint, MonoTime now) const {
-        return m_quarantine.remainingTime(fingerprint, now);
+    // Returns why a request with these fingerprints, its own and those of the shared parts of its
+    // prompt, is refused; nothing if it is not. Preconditions: none.
+    std::optional<QuarantineCause> causeOf(std::span<const uint64_t> fingerprints,
+                                           MonoTime now) const {
+        return m_quarantine.causeOf(fingerprints, now);
     }
     // Returns whether a crash is on record for any request. If not, callers need not compute
     // fingerprints. Preconditions: none.
@@ -41,6 +42,9 @@
     }
     // Records that an upstream answered the request with success. Preconditions: none.
     void noteAnswer(uint64_t fingerprint);
+    // Records a whole answer to a request with these parts of a prompt, whose attempt began at
+    // `sent`. Preconditions: none.
+    void notePartAnswers(std::span<const uint64_t> parts, MonoTime sent);
 
     // Handle a new link to a box, and the reports that a linked box sends. Preconditions: none.
     void onLinked(const std::string& address);
@@ -52,6 +56,7 @@
 
 private:
     void noteCrash(const Upstream& upstream, std::span<const InterruptedAttempt> attempts);
+    void record(const Upstream& upstream, uint64_t fingerprint, const InterruptedAttempt& attempt);
     void noteQuarantined(uint64_t fingerprint, const std::string& source);
     void startRounds();
     Task<> runRounds();
--- a/include/gateway/RequestHandler.h
+++ b/include/gateway/RequestHandler.h
@@ -73,6 +73,8 @@
     AfterAnswer afterAnswer() const;
     // Stands for this request wherever it comes again. Preconditions: it was admitted.
     uint64_t fingerprint();
+    // The request's own and those of the shared parts of its prompt. Preconditions: as above.
+    const std::vector<uint64_t>& fingerprints();
     void noteBroken(const Upstream& upstream, const AttemptReport& report);
     RequestReport report() const;
 
@@ -94,6 +96,8 @@
     std::set<std::string> m_triedBoxes;       // To which the request was to be relayed.
     std::optional<Millis> m_relayRetryAfter;  // When the other box says that the caller may retry.
     std::optional<uint64_t> m_fingerprint;    // Once it was asked for.
+    std::vector<uint64_t> m_fingerprints;     // Empty until they were asked for.
+    MonoTime m_attemptStart;                  // Of the last attempt.
     // What began the request's stream, once its first event is on its way to the caller, or at once
     // where the caller takes the stream up.
     std::optional<StreamOrigin> m_streamOrigin;
--- a/include/gateway/StreamOriginExchange.h
+++ b/include/gateway/StreamOriginExchange.h
@@ -49,7 +49,8 @@
 // fingerprint have one origin.
 struct StreamKey {
     uint64_t hash = 0;
-    bool isExact = true;  // It stands for one stream: a hash of the id of the request that began it.
+    bool isExact =
+        true;  // It stands for one stream: a hash of the id of the request that began it.
 
     static StreamKey OfId(std::string_view id);
     static StreamKey OfFingerprint(uint64_t fingerprint);
--- a/include/health/RequestFingerprint.h
+++ b/include/health/RequestFingerprint.h
@@ -1,6 +1,6 @@
-// Fingerprints that identify repeated requests: two requests are the same if they have the same
-// method, host, target, team and body. Every box computes the same value for them, whatever request
-// id, credential or connection each of them has.
+// Fingerprints that identify repeated requests and the parts of prompts: two requests are the same
+// if they have the same method, host, target, team and body. Every box computes the same value for
+// them, whatever request id, credential or connection each of them has.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +22,10 @@
 // Preconditions: none. Thread safety: any thread.
 uint64_t Fingerprint(const RequestIdentity& request);
 
+// Returns the fingerprint of a part of a prompt, which all requests with that part have in common.
+// Preconditions: none. Thread safety: any thread.
+uint64_t PartFingerprint(std::string_view part);
+
 // Returns a fingerprint as it is written to the log: 16 hexadecimal digits.
 // Preconditions: none. Thread safety: any thread.
 std::string FingerprintText(uint64_t fingerprint);
--- a/include/health/RequestQuarantine.h
+++ b/include/health/RequestQuarantine.h
@@ -1,4 +1,6 @@
-// Decides which requests are not sent to upstreams because upstreams crashed while running them.
+// Decides which requests are not sent to upstreams because upstreams crashed while running them, or
+// while running requests with a part of the same prompt. Requests and parts of prompts are recorded
+// alike, each by its fingerprint.
 //
 // Inputs: the crashes that boxes observed, each with the request that the upstream was running and
 // for how long it had been running it; the requests that were answered; the time. A request counts
@@ -7,15 +9,25 @@
 // count once, so that a popular request is not blamed when several upstreams are lost at the same
 // moment. A successful answer clears the request of all earlier crashes.
 //
+// A part that crashes upstreams is in each crash, and so is whatever its requests have in common. A
+// part of which this box passed on a whole answer a moment ago is sound, and an answer clears a
+// part of the crashes before its attempt began. A request is refused for a fingerprint in
+// quarantine unless another one, which the request lacks, explains the same crashes: it was in all
+// but one of them at least, and is no less suspicious.
+//
 // Each observation carries an id chosen by its box, so boxes may send each other the same
 // observation in any order and any number of times.
 #pragma once
 
 #include "include/base/Time.h"
 
+#include "include/health/AnsweredParts.h"
+
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -23,13 +35,19 @@
 
 // The crash of an upstream while it ran an attempt of a request, as one box observed it.
 struct CrashObservation {
-    uint64_t request = 0;   // Fingerprint, see RequestFingerprint.
+    uint64_t request = 0;   // Fingerprint of a request or a part, see RequestFingerprint.
     uint32_t id = 0;        // Random id chosen by the observing box.
     uint32_t upstream = 0;  // ShortHash() of the upstream's id.
     MonoTime sent;
     MonoTime crashed;  // Not before `sent`.
 };
 
+// Why a request is refused, and for how long.
+struct QuarantineCause {
+    uint64_t fingerprint = 0;  // In quarantine, see RequestFingerprint.
+    Millis left = 0;           // Of its quarantine, in milliseconds.
+};
+
 // Thread safety: none; one task owns it.
 class RequestQuarantine {
 public:
@@ -46,6 +64,10 @@
     // earlier crash may arrive after the answer.
     static constexpr Millis kMinAnswerRetentionMs = 10000;
     static constexpr size_t kMaxAnswers = 4096;
+    // Crashes that put a part in quarantine of which an answer is remembered.
+    static constexpr size_t kAnsweredThreshold = 5;
+    // Bound on the crashes by which fingerprints in quarantine are compared, the newest ones.
+    static constexpr size_t kMaxCompared = 32;
 
     // What noteCrash() changed, and so what must be sent to other boxes.
     enum class CrashEffect : uint8_t { kUnchanged, kRecorded, kQuarantined };
@@ -55,6 +77,10 @@
     // Preconditions: `now` never decreases between calls.
     CrashEffect noteCrash(const CrashObservation& observation, MonoTime now);
 
+    // Records a whole answer to a request with a part of a prompt, whose attempt began at `sent`.
+    // Returns whether this clears the part of a recorded crash. Preconditions: as for noteCrash().
+    bool notePartAnswer(uint64_t part, MonoTime sent, MonoTime now);
+
     // Records that a request was answered at `at`. Returns whether this clears it of a recorded
     // crash. The answer also clears it of crashes up to `at` that are reported later.
     // Preconditions: `now` never decreases between calls.
@@ -72,6 +98,12 @@
     // in quarantine. Preconditions: `now` never decreases between calls.
     std::optional<Millis> remainingTime(uint64_t request, MonoTime now) const;
 
+    // Returns why a request with these fingerprints, its own and those of the parts of its prompt,
+    // is refused, or nullopt if it is not. Of several causes it is the one that lasts longest.
+    // Preconditions: `now` never decreases between calls.
+    std::optional<QuarantineCause> causeOf(std::span<const uint64_t> fingerprints,
+                                           MonoTime now) const;
+
     // Returns whether no request is recorded. Preconditions: none.
     bool empty() const { return m_records.empty(); }
     // Returns the number of requests in quarantine.
@@ -92,8 +124,14 @@
     void expire(MonoTime now);
 
 private:
+    // One crash of an upstream, whichever attempts were there.
+    struct Crash {
+        uint32_t upstream = 0;
+        MonoTime at;
+    };
     struct Record {
         std::vector<CrashObservation> observations;  // Ordered by the time of the crash.
+        std::deque<Crash> crashes;                   // All that are not cleared, as received.
         size_t crashCount = 0;                       // Those one after the other.
         MonoTime lastCrash;
         std::optional<MonoTime> answered;  // Crashes up to then do not count.
@@ -102,10 +140,15 @@
         bool hadTwoCrashes = false;    // Two crashes counted at some time.
 
         bool add(const CrashObservation& observation, MonoTime now);
+        void noteForComparison(const CrashObservation& observation);
+        // Whether all crashes of `other` but one at most were crashes of this record as well.
+        bool covers(const Record& other) const;
         void count();
     };
 
     static bool IsQuarantined(const Record& record, MonoTime now);
+    bool isExplained(uint64_t fingerprint, std::span<const uint64_t> fingerprints,
+                     MonoTime now) const;
     void evictOne(MonoTime now);
     void rememberAnswer(uint64_t request, MonoTime at, MonoTime now);
     std::optional<MonoTime> answerOf(uint64_t request) const;
@@ -116,6 +159,7 @@
     std::unordered_map<uint64_t, MonoTime> m_olderAnswers;
     MonoTime m_answersSince;
     std::unordered_map<uint64_t, Record> m_records;
+    AnsweredParts m_answeredParts;
 };
 
 }  // namespace onyx
--- a/src/admission/Refusal.cpp
+++ b/src/admission/Refusal.cpp
@@ -22,7 +22,7 @@
 constexpr std::optional<Millis> kAfterConfigurationMs = kRetryAfterNoConfigurationMs;
 constexpr std::optional<Millis> kNoRetry = std::nullopt;
 // One row per reason.
-constexpr std::array<RefusalRow, 14> kRefusalTable = {{
+constexpr std::array<RefusalRow, 15> kRefusalTable = {{
     {RefusalReason::kBadHead, HttpStatus::kBadRequest, "", kNoRetry},
     {RefusalReason::kNoRequestId, HttpStatus::kBadRequest, "the request has no id", kNoRetry},
     {RefusalReason::kDraining, HttpStatus::kUnavailable, "this box is leaving",
@@ -39,6 +39,9 @@
     {RefusalReason::kUnknownCredential, HttpStatus::kUnauthorized, "unknown key", kNoRetry},
     {RefusalReason::kQuarantined, HttpStatus::kUnavailable,
      "upstreams crashed while they ran this request", kRetryAfterQuarantinedMs},
+    {RefusalReason::kPartQuarantined, HttpStatus::kUnavailable,
+     "upstreams crashed while they ran requests with a part of this prompt",
+     kRetryAfterQuarantinedMs},
     {RefusalReason::kStreamOriginUnknown, HttpStatus::kUnavailable,
      "the version that began the stream is not known", kRetryAfterStreamUnknownMs},
     {RefusalReason::kNoUpstream, HttpStatus::kUnavailable, "no upstream took the request",
@@ -54,7 +57,7 @@
         std::find_if(kRefusalTable.begin(), kRefusalTable.end(),
                      [&](const RefusalRow& answer) { return answer.reason == reason; });
     const std::string text = row->text.empty() ? std::move(detail) : std::string(row->text);
-    return {reason, row->status, text, row->retryAfter};
+    return {reason, row->status, text, row->retryAfter, std::nullopt};
 }
 
 }  // namespace onyx
--- a/src/gateway/CrashExchange.cpp
+++ b/src/gateway/CrashExchange.cpp
@@ -138,6 +138,17 @@
         }
         return;
     }
+    passAnswerOn(request, at, wasSuspected);
+}
+
+void CrashExchange::notePartAnswer(uint64_t part, MonoTime sent, MonoTime now) {
+    const bool wasSuspected = isSuspect(part);
+    if (m_quarantine.notePartAnswer(part, sent, now)) {
+        passAnswerOn(part, sent, wasSuspected);
+    }
+}
+
+void CrashExchange::passAnswerOn(uint64_t request, MonoTime at, bool wasSuspected) {
     const size_t unreported = std::erase_if(m_singleCrashes, [&](const SingleCrash& pending) {
         return pending.observation.request == request && pending.origin == Origin::kLocal;
     });
--- a/src/gateway/PeerMesh.cpp
+++ b/src/gateway/PeerMesh.cpp
@@ -83,8 +83,7 @@
     for (const auto& [address, peer] : m_links) {
         const wire::HelloT& hello = peer.link->peer();
         if (hello.takes_relayed_requests) {
-            boxes.push_back(
-                {address, hello.zone, peer.lostServices, hello.keeps_stream_origins});
+            boxes.push_back({address, hello.zone, peer.lostServices, hello.keeps_stream_origins});
         }
     }
     return boxes;
--- a/src/gateway/QuarantineController.cpp
+++ b/src/gateway/QuarantineController.cpp
@@ -1,6 +1,9 @@
 #include "include/gateway/QuarantineController.h"
 
 #include "include/base/Hash.h"
+#include "include/health/RequestFingerprint.h"
+
+#include <map>
 
 namespace onyx {
 
@@ -22,15 +25,36 @@
 
 void QuarantineController::noteCrash(const Upstream& upstream,
                                      std::span<const InterruptedAttempt> attempts) {
-    const MonoTime now = ReadClocks().mono;
+    // Of the attempts with a part, the one that was sent last says the most about it.
+    std::map<uint64_t, const InterruptedAttempt*> parts;
     for (const InterruptedAttempt& attempt : attempts) {
         m_log.crashed(upstream.id, attempt);
-        const CrashObservation observation{attempt.fingerprint, static_cast<uint32_t>(m_random()),
-                                           ShortHash(upstream.id), attempt.sent, attempt.ended};
-        if (m_exchange.noteCrash(observation, now)) {
-            noteQuarantined(attempt.fingerprint, "here");
+        record(upstream, attempt.fingerprint, attempt);
+        for (const std::string& part : attempt.sharedParts) {
+            const InterruptedAttempt*& last = parts[PartFingerprint(part)];
+            last = last == nullptr || last->sent < attempt.sent ? &attempt : last;
         }
     }
+    for (const auto& [part, attempt] : parts) {
+        record(upstream, part, *attempt);
+    }
+    startRounds();
+}
+
+void QuarantineController::record(const Upstream& upstream, uint64_t fingerprint,
+                                  const InterruptedAttempt& attempt) {
+    const CrashObservation observation{fingerprint, static_cast<uint32_t>(m_random()),
+                                       ShortHash(upstream.id), attempt.sent, attempt.ended};
+    if (m_exchange.noteCrash(observation, ReadClocks().mono)) {
+        noteQuarantined(fingerprint, "here");
+    }
+}
+
+void QuarantineController::notePartAnswers(std::span<const uint64_t> parts, MonoTime sent) {
+    const MonoTime now = ReadClocks().mono;
+    for (const uint64_t part : parts) {
+        m_exchange.notePartAnswer(part, sent, now);
+    }
     startRounds();
 }
 
--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -102,8 +102,12 @@
 std::optional<Refusal> RequestHandler::admit() {
     const MonoTime now = ReadClocks().mono;
     const AdmissionRequest request{
-        m_message[http::field::host], m_message.target(), m_facts.credential,
-        m_facts.clientTimeout,        m_arrived,          m_draw,
+        m_message[http::field::host],
+        m_message.target(),
+        m_facts.credential,
+        m_facts.clientTimeout,
+        m_arrived,
+        m_draw,
         m_streamOrigin ? std::string_view(m_streamOrigin->service) : std::string_view()};
     const AdmissionState knowledge =
         KnowledgeOf(m_context.configuration, m_context.upstreams, m_context.lifecycle, now);
@@ -129,12 +133,15 @@
     if (!m_context.quarantine.hasCrashRecords()) {
         return std::nullopt;
     }
-    const auto left = m_context.quarantine.timeLeft(fingerprint(), now);
-    if (!left) {
+    const auto cause = m_context.quarantine.causeOf(fingerprints(), now);
+    if (!cause) {
         return std::nullopt;
     }
-    Refusal refusal = MakeRefusal(RefusalReason::kQuarantined);
-    refusal.retryAfter = *left;
+    const bool isPart = cause->fingerprint != fingerprint();
+    Refusal refusal =
+        MakeRefusal(isPart ? RefusalReason::kPartQuarantined : RefusalReason::kQuarantined);
+    refusal.retryAfter = cause->left;
+    refusal.fingerprint = cause->fingerprint;
     return refusal;
 }
 
@@ -167,7 +174,8 @@
     co_return admit();
 }
 
-// Runs before the first event goes to the caller, so that a caller that comes back finds the record.
+// Runs before the first event goes to the caller, so that a caller that comes back finds the
+// record.
 void RequestHandler::noteStreamBegun() {
     if (!m_streamOrigin) {
         m_streamOrigin = StreamOrigin{m_admission.service.value, m_version};
@@ -282,8 +290,7 @@
     if (!m_caller.isFromBox() || m_attempts.mayHaveRun()) {
         return;
     }
-    const bool elsewhere = refusal.status == HttpStatus::kUnavailable &&
-                           refusal.reason != RefusalReason::kQuarantined &&
+    const bool elsewhere = refusal.status == HttpStatus::kUnavailable && !refusal.fingerprint &&
                            m_attempts.attempts() == 0;
     fields.set(kRelayHeader, elsewhere ? kRelayUnavailable : kRelayNotRun);
 }
@@ -311,8 +318,8 @@
 VersionRule RequestHandler::versionRule(bool mayTry, MonoTime now) const {
     if (m_streamOrigin) {
         const std::string& version = m_streamOrigin->version;
-        const bool mayContinue = !version.empty() && m_context.rollouts.mayContinue(
-                                                         m_admission.service, version, now);
+        const bool mayContinue =
+            !version.empty() && m_context.rollouts.mayContinue(m_admission.service, version, now);
         return mayContinue ? VersionRule(OnlyVersion{version}) : VersionRule(NoVersion{});
     }
     return m_context.rollouts.ruleFor(m_admission.service, promptHash(), mayTry, now);
@@ -350,6 +357,7 @@
 Task<Verdict> RequestHandler::attempt(const AttemptPlace& place) {
     m_upstream = place.upstream.id;
     m_version = place.upstream.version;
+    m_attemptStart = ReadClocks().mono;
     m_context.log.attemptStarted(m_facts, m_attempts.attempts() + 1, place,
                                  ReadClocks().mono - m_arrived);
     const AttemptRequest request{m_message, m_facts, m_admission, m_attempts, !m_sent};
@@ -394,6 +402,16 @@
     return *m_fingerprint;
 }
 
+const std::vector<uint64_t>& RequestHandler::fingerprints() {
+    if (m_fingerprints.empty()) {
+        m_fingerprints.push_back(fingerprint());
+        for (const std::string& part : m_facts.sharedParts) {
+            m_fingerprints.push_back(PartFingerprint(part));
+        }
+    }
+    return m_fingerprints;
+}
+
 void RequestHandler::noteBroken(const Upstream& upstream, const AttemptReport& report) {
     const MonoTime now = ReadClocks().mono;
     m_context.quarantine.noteInterruptedAttempt(
@@ -444,6 +462,7 @@
     const bool success = m_relay->status() < HttpStatus::kFirstRedirect;
     if (success) {
         m_context.quarantine.noteAnswer(fingerprint());
+        m_context.quarantine.notePartAnswers(std::span(fingerprints()).subspan(1), m_attemptStart);
     }
     const bool written = co_await m_relay->finish();
     m_context.log.done(report(), m_admission, kAnswered);
--- a/src/gateway/RequestLog.cpp
+++ b/src/gateway/RequestLog.cpp
@@ -155,11 +155,12 @@
 
 void RequestLog::crashed(const std::string& upstream, const InterruptedAttempt& attempt) {
     m_metrics.count("onyx_upstream_crashes_total");
-    logEvent(Event::kUpstreamCrashed, {{"upstream", upstream},
-                                       {"request", attempt.request},
-                                       {"fingerprint", FingerprintText(attempt.fingerprint)},
-                                       {"parts", fmt::format("{}", fmt::join(attempt.sharedParts, ","))},
-                                       {"ran_ms", std::to_string(attempt.ended - attempt.sent)}});
+    logEvent(Event::kUpstreamCrashed,
+             {{"upstream", upstream},
+              {"request", attempt.request},
+              {"fingerprint", FingerprintText(attempt.fingerprint)},
+              {"parts", fmt::format("{}", fmt::join(attempt.sharedParts, ","))},
+              {"ran_ms", std::to_string(attempt.ended - attempt.sent)}});
 }
 
 void RequestLog::quarantined(uint64_t fingerprint, size_t crashes, const std::string& source) {
@@ -195,6 +196,7 @@
              {{"request", request.id},
               {"status", std::to_string(refusal.status)},
               {"reason", refusal.text},
+              {"fingerprint", refusal.fingerprint ? FingerprintText(*refusal.fingerprint) : ""},
               {"for_box", YesNo(request.forBox)},
               {"upstream", request.upstream},
               {"may_have_run", YesNo(request.mayHaveRun)},
--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -81,9 +81,10 @@
 
 void StreamController::handle(const Udp::endpoint& from, std::span<const char> datagram) {
     const std::string box = EndpointText({from.address(), from.port()});
-    const auto body = datagram.size() > kFrameHeaderSize
-                          ? DecodeFrame(datagram.subspan(kFrameHeaderSize))
-                          : Result<wire::BodyUnion>(Error{ErrorCode::kProtocol, "datagram", box, ""});
+    const auto body =
+        datagram.size() > kFrameHeaderSize
+            ? DecodeFrame(datagram.subspan(kFrameHeaderSize))
+            : Result<wire::BodyUnion>(Error{ErrorCode::kProtocol, "datagram", box, ""});
     if (body.has_error()) {
         m_metrics.count("onyx_stream_datagrams_bad_total");
         return;
--- a/src/health/RequestFingerprint.cpp
+++ b/src/health/RequestFingerprint.cpp
@@ -31,6 +31,11 @@
     return hash;
 }
 
+uint64_t PartFingerprint(std::string_view part) {
+    constexpr uint64_t kSalt = 2;  // Keeps parts apart from requests.
+    return HashPair(HashText(part), kSalt);
+}
+
 std::string FingerprintText(uint64_t fingerprint) {
     constexpr size_t kDigits = 16;
     std::array<char, kDigits> digits{};
--- a/src/health/RequestQuarantine.cpp
+++ b/src/health/RequestQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "include/health/RequestQuarantine.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
 #include <tuple>
 #include <utility>
@@ -56,6 +57,11 @@
     observations.erase(observations.begin() + static_cast<std::ptrdiff_t>(at));
 }
 
+// Attempts that ended together at one upstream are one crash.
+bool IsSameCrash(uint32_t upstreamA, MonoTime a, uint32_t upstreamB, MonoTime b) {
+    return upstreamA == upstreamB && std::abs(a - b) < kMinRestartMs;
+}
+
 }  // namespace
 
 bool RequestQuarantine::IsQuarantined(const Record& record, MonoTime now) {
@@ -65,6 +71,7 @@
 RequestQuarantine::CrashEffect RequestQuarantine::noteCrash(const CrashObservation& observation,
                                                             MonoTime now) {
     if (now - observation.crashed >= kRetentionMs ||
+        m_answeredParts.isSound(observation.request, now) ||
         answerAfter(observation.request, observation.crashed)) {
         return CrashEffect::kUnchanged;
     }
@@ -73,6 +80,7 @@
     }
     Record& record = m_records[observation.request];
     record.lastCrash = std::max(record.lastCrash, observation.crashed);
+    record.noteForComparison(observation);
     const size_t before = record.crashCount;
     if (!record.add(observation, now)) {
         return CrashEffect::kUnchanged;
@@ -81,6 +89,29 @@
     return becameCause ? CrashEffect::kQuarantined : CrashEffect::kRecorded;
 }
 
+void RequestQuarantine::Record::noteForComparison(const CrashObservation& observation) {
+    const bool isKnown = std::any_of(crashes.begin(), crashes.end(), [&](const Crash& crash) {
+        return IsSameCrash(crash.upstream, crash.at, observation.upstream, observation.crashed);
+    });
+    if (isKnown) {
+        return;
+    }
+    if (crashes.size() >= kMaxCompared) {
+        crashes.pop_front();
+    }
+    crashes.push_back({observation.upstream, observation.crashed});
+}
+
+bool RequestQuarantine::Record::covers(const Record& other) const {
+    constexpr std::ptrdiff_t kMaxUncovered = 1;
+    const auto isMissing = [&](const Crash& theirs) {
+        return std::none_of(crashes.begin(), crashes.end(), [&](const Crash& ours) {
+            return IsSameCrash(ours.upstream, ours.at, theirs.upstream, theirs.at);
+        });
+    };
+    return std::count_if(other.crashes.begin(), other.crashes.end(), isMissing) <= kMaxUncovered;
+}
+
 void RequestQuarantine::Record::count() {
     const std::vector<bool> counted = LongestSequence(observations, !hasDelayedCrash);
     crashCount = static_cast<size_t>(std::count(counted.begin(), counted.end(), true));
@@ -121,10 +152,16 @@
         std::erase_if(record.observations, [&](const CrashObservation& observation) {
             return observation.crashed <= *record.answered;
         });
+    std::erase_if(record.crashes, [&](const Crash& crash) { return crash.at <= *record.answered; });
     record.count();
     return cleared > 0;
 }
 
+bool RequestQuarantine::notePartAnswer(uint64_t part, MonoTime sent, MonoTime now) {
+    m_answeredParts.note(part, now);
+    return noteAnswer(part, sent, now);
+}
+
 bool RequestQuarantine::wasSuspected(uint64_t request) const {
     const auto it = m_records.find(request);
     return it != m_records.end() && it->second.hadTwoCrashes;
@@ -166,6 +203,36 @@
     return kRetentionMs - (now - it->second.lastCrash);
 }
 
+// Whether a fingerprint in quarantine that the request lacks accounts for the crashes of one that
+// it has. One of which an answer is remembered explains none without.
+bool RequestQuarantine::isExplained(uint64_t fingerprint, std::span<const uint64_t> fingerprints,
+                                    MonoTime now) const {
+    const Record& record = m_records.at(fingerprint);
+    const bool wasAnswered = m_answeredParts.wasAnswered(fingerprint);
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& entry) {
+        const auto& [other, otherRecord] = entry;
+        const bool isLacking =
+            std::find(fingerprints.begin(), fingerprints.end(), other) == fingerprints.end();
+        return isLacking && IsQuarantined(otherRecord, now) &&
+               (wasAnswered || !m_answeredParts.wasAnswered(other)) && otherRecord.covers(record);
+    });
+}
+
+std::optional<QuarantineCause> RequestQuarantine::causeOf(std::span<const uint64_t> fingerprints,
+                                                          MonoTime now) const {
+    std::optional<QuarantineCause> cause;
+    for (const uint64_t fingerprint : fingerprints) {
+        const std::optional<Millis> left = remainingTime(fingerprint, now);
+        const bool isWeak = m_answeredParts.wasAnswered(fingerprint) &&
+                            crashCount(fingerprint) < kAnsweredThreshold;
+        const bool isLonger = left && (!cause || *left > cause->left);
+        if (isLonger && !isWeak && !isExplained(fingerprint, fingerprints, now)) {
+            cause = QuarantineCause{fingerprint, *left};
+        }
+    }
+    return cause;
+}
+
 size_t RequestQuarantine::quarantined(MonoTime now) const {
     return static_cast<size_t>(
         std::count_if(m_records.begin(), m_records.end(),
--- a/src/membership/StreamKeepers.cpp
+++ b/src/membership/StreamKeepers.cpp
@@ -18,8 +18,7 @@
     }
     const size_t kept = std::min(count, scores.size());
     std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(kept),
-                      scores.end(),
-                      [](const auto& a, const auto& b) { return a.first > b.first; });
+                      scores.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     std::vector<const Entry*> best;
     for (size_t i = 0; i < kept; ++i) {
         best.push_back(scores[i].second);
--- a/src/rollout/VersionHistory.cpp
+++ b/src/rollout/VersionHistory.cpp
@@ -57,9 +57,8 @@
         return false;
     }
     const MonoTime from = m_now - m_age.value_or(0) - span;
-    return std::count_if(versions->begin(), versions->end(), [&](const auto& version) {
-               return version.second.last >= from;
-           }) > 1;
+    return std::count_if(versions->begin(), versions->end(),
+                         [&](const auto& version) { return version.second.last >= from; }) > 1;
 }
 
 std::set<std::string> VersionHistory::heldBack(const ServiceId& service) const {
--- a/tests/StreamOriginReplayTest.cpp
+++ b/tests/StreamOriginReplayTest.cpp
@@ -17,14 +17,14 @@
 
 const std::string kService = "models";
 // All times in milliseconds.
-constexpr Millis kSpan = 30000;         // How long streams of the route can last.
+constexpr Millis kSpan = 30000;           // How long streams of the route can last.
 constexpr Millis kSecondVersion = 60000;  // When the second version is listed by the store.
 constexpr Millis kEnd = 75000;
-constexpr Millis kStep = 250;      // Between two looks at the list of upstreams.
-constexpr Millis kMaxLag = 1200;   // Of a box's list behind the store.
-constexpr Millis kAskAgain = 40;   // As StreamController sends a query again,
-constexpr Millis kQueryTime = 100;  // and gives it up.
-constexpr Millis kDeadline = 12000;  // Of a stream's caller.
+constexpr Millis kStep = 250;           // Between two looks at the list of upstreams.
+constexpr Millis kMaxLag = 1200;        // Of a box's list behind the store.
+constexpr Millis kAskAgain = 40;        // As StreamController sends a query again,
+constexpr Millis kQueryTime = 100;      // and gives it up.
+constexpr Millis kDeadline = 12000;     // Of a stream's caller.
 constexpr double kDatagramHeader = 28;  // Bytes of IP and UDP.
 
 struct Counts {
@@ -44,9 +44,9 @@
     Site(size_t boxes, size_t zones, Fault fault, uint64_t seed)
         : m_fault(fault), m_zones(zones), m_random(seed) {
         for (size_t i = 0; i < boxes; ++i) {
-            const std::string address =
-                "10." + std::to_string(i % zones) + "." + std::to_string(i / 250) + "." +
-                std::to_string(i % 250) + ":7340";
+            const std::string address = "10." + std::to_string(i % zones) + "." +
+                                        std::to_string(i / 250) + "." + std::to_string(i % 250) +
+                                        ":7340";
             m_known.push_back({address, "zone-" + std::to_string(i % zones)});
             m_byAddress[address] = i;
         }
