--- a/src/gateway/RequestHandler.cpp
+++ b/src/gateway/RequestHandler.cpp
@@ -262,6 +262,7 @@
             break;
         }
         m_triedBoxes.insert(*box);
+        m_version.clear();  // The other box records what begins the stream there.
         const AttemptRequest request{m_message, m_facts, m_admission, m_attempts, !m_sent};
         RelayAttempt attempt(m_context, m_caller, *m_relay, request, *box);
         const RelayReport report = co_await attempt.run();
