--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -193,3 +193,66 @@
         return observation.request == kRequest;
     }));
 }
+
+namespace {
+
+constexpr uint64_t kFirstPart = 100;
+constexpr uint64_t kBadPart = 101;
+constexpr uint64_t kOtherPart = 102;
+
+// One crash at which requests with these parts were under way.
+void CrashUnder(RequestQuarantine& quarantine, uint32_t upstream, Millis at,
+                const std::vector<uint64_t>& parts) {
+    for (const uint64_t part : parts) {
+        quarantine.noteCrash(
+            {part, upstream * 1000 + static_cast<uint32_t>(part), upstream, {at - 50}, {at}}, {at});
+    }
+}
+
+bool IsRefused(const RequestQuarantine& quarantine, const std::vector<uint64_t>& fingerprints,
+               Millis now) {
+    return quarantine.causeOf(fingerprints, {now}).has_value();
+}
+
+}  // namespace
+
+// Guards against condemning the parts that all requests with a bad part have in common.
+TEST_CASE("Of parts that were in the same crashes only requests with all of them are refused") {
+    RequestQuarantine quarantine;
+    for (uint32_t i = 1; i <= 3; ++i) {
+        CrashUnder(quarantine, i, 1000 * i, {kFirstPart, kBadPart, kOtherPart});
+    }
+    CHECK(IsRefused(quarantine, {1, kFirstPart, kBadPart, kOtherPart}, 3000));
+    CHECK_FALSE(IsRefused(quarantine, {2, kFirstPart}, 3000));
+    CHECK_FALSE(IsRefused(quarantine, {3, kFirstPart, kOtherPart}, 3000));
+    // Without one of them, two more crashes show which it is.
+    CrashUnder(quarantine, 4, 4000, {kFirstPart, kBadPart});
+    CrashUnder(quarantine, 5, 5000, {kFirstPart, kBadPart});
+    CHECK(IsRefused(quarantine, {4, kFirstPart, kBadPart}, 5000));
+    CHECK_FALSE(IsRefused(quarantine, {5, kFirstPart, kOtherPart}, 5000));
+}
+
+// Guards against clearing a bad part by an answer that was under way before its crashes.
+TEST_CASE("An answer clears a part of the crashes before its attempt began only") {
+    RequestQuarantine quarantine;
+    for (uint32_t i = 1; i <= 3; ++i) {
+        CrashUnder(quarantine, i, 1000 * i, {kBadPart});
+    }
+    quarantine.notePartAnswer(kBadPart, {900}, {3100});
+    CHECK(quarantine.crashCount(kBadPart) == 3);
+    quarantine.notePartAnswer(kBadPart, {2500}, {3200});
+    CHECK(quarantine.crashCount(kBadPart) == 1);
+}
+
+// Guards against blaming a popular part while upstreams fall one after the other.
+TEST_CASE("A part that was answered a moment ago is not blamed, and explains nothing") {
+    RequestQuarantine quarantine;
+    quarantine.notePartAnswer(kFirstPart, {500}, {900});
+    CrashUnder(quarantine, 1, 1000, {kFirstPart, kBadPart});
+    CHECK(quarantine.crashCount(kFirstPart) == 0);
+    for (uint32_t i = 2; i <= 6; ++i) {
+        CrashUnder(quarantine, i, 3000 + 1000 * i, {kFirstPart, kBadPart});
+    }
+    CHECK(IsRefused(quarantine, {1, kBadPart}, 9000));
+    CHECK_FALSE(IsRefused(quarantine, {2, kFirstPart}, 9000));
+}
