--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -14,6 +14,7 @@
 // All times in milliseconds.
 constexpr Millis kStepPeriod = 100;
 constexpr Millis kAskAgain = 40;  // A query or its reply may be lost; it is sent once more.
+constexpr Millis kReceivePause = 20;  // After an error of the socket.
 constexpr size_t kMaxDatagram = 2048;
 
 }  // namespace
@@ -72,10 +73,11 @@
         if (ec == asio::error::operation_aborted) {
             co_return;
         }
-        // Other errors are those of datagrams sent before, to a port that is closed.
-        if (!ec) {
-            handle(from, std::span(buffer.data(), size));
+        if (ec) {
+            co_await SleepFor(kReceivePause);
+            continue;
         }
+        handle(from, std::span(buffer.data(), size));
     }
 }
 
