--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -13,7 +13,7 @@
 
 // All times in milliseconds.
 constexpr Millis kStepPeriod = 100;
-constexpr Millis kAskAgain = 40;  // A query or its reply may be lost; it is sent once more.
+constexpr Millis kAskAgain = 40;      // A query or its reply may be lost; it is sent once more.
 constexpr Millis kReceivePause = 20;  // After an error of the socket.
 constexpr size_t kMaxDatagram = 2048;
 
