Align the numbers of received datagrams

The content of a frame begins four bytes into a datagram, so that its 64-bit numbers were read at misaligned addresses: found on reading, before the sanitizers ran. The replay takes its frames apart the same way as a link.

--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -64,12 +64,17 @@
 }
 
 Task<> StreamController::receive() {
-    std::array<char, kMaxDatagram> buffer{};
+    // The content of a frame follows its header and has to be aligned for the frame's numbers.
+    constexpr size_t kAlignment = alignof(uint64_t);
+    constexpr size_t kOffset = kAlignment - kFrameHeaderSize;
+    alignas(kAlignment) std::array<char, kOffset + kMaxDatagram> buffer{};
+    const std::span<char> datagram = std::span(buffer).subspan(kOffset);
     while (true) {
         Udp::endpoint from;
         boost::system::error_code ec;
         const size_t size = co_await m_socket.async_receive_from(
-            asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, ec));
+            asio::buffer(datagram.data(), datagram.size()), from,
+            asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) {
             co_return;
         }
@@ -77,7 +82,7 @@
             co_await SleepFor(kReceivePause);
             continue;
         }
-        handle(from, std::span(buffer.data(), size));
+        handle(from, datagram.first(size));
     }
 }
 
--- a/tests/StreamOriginReplayTest.cpp
+++ b/tests/StreamOriginReplayTest.cpp
@@ -159,7 +159,9 @@
     }
 
     void receive(size_t from, size_t to, const std::string& frame) {
-        const auto body = DecodeFrame(std::span(frame).subspan(kFrameHeaderSize));
+        // A buffer of its own, aligned for the frame's numbers.
+        const std::vector<char> content(frame.begin() + kFrameHeaderSize, frame.end());
+        const auto body = DecodeFrame(content);
         REQUIRE(body.has_value());
         StreamOriginExchange& exchange = *m_boxes[to].exchange;
         if (const auto* origins = body.value().AsStreamOrigins()) {
