Read the change again: smaller crash records, one stream's frames at its start

The crashes by which records are compared are a vector: a deque takes 600 bytes for each of 4,096 records that mostly hold one crash. The begin of a stream looks at that stream only, not at all that run.

--- a/include/gateway/StreamOriginExchange.h
+++ b/include/gateway/StreamOriginExchange.h
@@ -49,9 +49,10 @@
 // fingerprint have one origin.
 struct StreamKey {
     uint64_t hash = 0;
-    bool isExact =
-        true;  // It stands for one stream: a hash of the id of the request that began it.
+    // It stands for one stream: it is made from the id of the request that began the stream.
+    bool isExact = true;
 
+    // Preconditions: none. Thread safety: any thread.
     static StreamKey OfId(std::string_view id);
     static StreamKey OfFingerprint(uint64_t fingerprint);
 };
@@ -141,9 +142,11 @@
         std::optional<MonoTime> sent;  // When the record was last sent to the keepers.
     };
 
+    using OriginsByBox = std::map<std::string, std::vector<wire::StreamOriginT>>;
+
     bool isProved(const Running& stream) const;
-    std::vector<OutgoingFrame> makeFrames(
-        const std::map<std::string, std::vector<wire::StreamOriginT>>& byBox) const;
+    void addIfDue(uint64_t id, Running& stream, MonoTime now, OriginsByBox& byBox) const;
+    static std::vector<OutgoingFrame> MakeFrames(const OriginsByBox& byBox);
 
     std::string m_self;
     std::string m_zone;
--- a/include/health/RequestQuarantine.h
+++ b/include/health/RequestQuarantine.h
@@ -25,7 +25,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -131,7 +130,7 @@
     };
     struct Record {
         std::vector<CrashObservation> observations;  // Ordered by the time of the crash.
-        std::deque<Crash> crashes;                   // All that are not cleared, as received.
+        std::vector<Crash> crashes;                  // All that are not cleared, as received.
         size_t crashCount = 0;                       // Those one after the other.
         MonoTime lastCrash;
         std::optional<MonoTime> answered;  // Crashes up to then do not count.
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -100,35 +100,42 @@
 std::vector<OutgoingFrame> StreamOriginExchange::begin(uint64_t stream, const StreamOrigin& origin,
                                                        Millis span, MonoTime until, MonoTime now) {
     m_records.put(stream, origin, std::min(until, now + kMaxRecordMs), now);
-    m_running[stream] = {origin, span, until, std::nullopt};
-    return makeDueFrames(now);
+    Running& running = m_running[stream];
+    running = {origin, span, until, std::nullopt};
+    OriginsByBox byBox;
+    addIfDue(stream, running, now, byBox);
+    return MakeFrames(byBox);
 }
 
 std::vector<OutgoingFrame> StreamOriginExchange::makeDueFrames(MonoTime now) {
-    std::map<std::string, std::vector<wire::StreamOriginT>> byBox;
+    OriginsByBox byBox;
     for (auto& [id, stream] : m_running) {
-        const bool isDue = !stream.sent || now - *stream.sent >= kRepeatMs;
-        if (!isDue || stream.until <= now || isProved(stream)) {
+        addIfDue(id, stream, now, byBox);
+    }
+    return MakeFrames(byBox);
+}
+
+void StreamOriginExchange::addIfDue(uint64_t id, Running& stream, MonoTime now,
+                                    OriginsByBox& byBox) const {
+    const bool isDue = !stream.sent || now - *stream.sent >= kRepeatMs;
+    if (!isDue || stream.until <= now || isProved(stream)) {
+        return;
+    }
+    stream.sent = now;
+    for (const std::string& box : m_keepers.keepersOf(id, m_zone)) {
+        if (box == m_self) {
             continue;
         }
-        stream.sent = now;
-        for (const std::string& box : m_keepers.keepersOf(id, m_zone)) {
-            if (box == m_self) {
-                continue;
-            }
-            wire::StreamOriginT entry;
-            entry.stream = id;
-            entry.service = stream.origin.service;
-            entry.version = stream.origin.version;
-            entry.left_ms = WireMillis(stream.until - now);
-            byBox[box].push_back(std::move(entry));
-        }
+        wire::StreamOriginT entry;
+        entry.stream = id;
+        entry.service = stream.origin.service;
+        entry.version = stream.origin.version;
+        entry.left_ms = WireMillis(stream.until - now);
+        byBox[box].push_back(std::move(entry));
     }
-    return makeFrames(byBox);
 }
 
-std::vector<OutgoingFrame> StreamOriginExchange::makeFrames(
-    const std::map<std::string, std::vector<wire::StreamOriginT>>& byBox) const {
+std::vector<OutgoingFrame> StreamOriginExchange::MakeFrames(const OriginsByBox& byBox) {
     std::vector<OutgoingFrame> frames;
     for (const auto& [box, entries] : byBox) {
         for (size_t from = 0; from < entries.size(); from += kMaxPerDatagram) {
--- a/src/health/RequestQuarantine.cpp
+++ b/src/health/RequestQuarantine.cpp
@@ -97,7 +97,7 @@
         return;
     }
     if (crashes.size() >= kMaxCompared) {
-        crashes.pop_front();
+        crashes.erase(crashes.begin());
     }
     crashes.push_back({observation.upstream, observation.crashed});
 }
