--- a/cmake/Onyxcleat.cmake
+++ b/cmake/Onyxcleat.cmake
@@ -38,7 +38,8 @@
 target_link_libraries(onyx_runtime PUBLIC onyx_decisions spdlog::spdlog nlohmann_json::nlohmann_json
                       flatbuffers Threads::Threads)
 
-file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS ${ONYX_ROOT}/src/gateway/*.cpp
+file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS ${ONYX_ROOT}/src/state/*.cpp
+     ${ONYX_ROOT}/src/peers/*.cpp ${ONYX_ROOT}/src/request/*.cpp ${ONYX_ROOT}/src/gateway/*.cpp
      ${ONYX_ROOT}/platform/*.cpp)
 add_library(onyx_gateway STATIC ${GATEWAY_SOURCES})
 target_link_libraries(onyx_gateway PUBLIC onyx_runtime)
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -18,11 +18,11 @@
 //   StatusServer        readiness for the balancer, metrics for the operators
 #pragma once
 
-#include "include/gateway/CallerServer.h"
-#include "include/gateway/PeerSync.h"
-#include "include/gateway/RequestContext.h"
 #include "include/gateway/StatusServer.h"
-#include "include/gateway/StoreController.h"
+#include "include/peers/PeerSync.h"
+#include "include/request/CallerServer.h"
+#include "include/request/RequestContext.h"
+#include "include/state/StoreController.h"
 
 #include <functional>
 #include <memory>
--- a/include/gateway/StatusServer.h
+++ b/include/gateway/StatusServer.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "include/dialect/Dialect.h"
-#include "include/gateway/ConfigurationState.h"
-#include "include/gateway/GatewaySettings.h"
 #include "include/lifecycle/Drain.h"
 #include "include/net/HttpServer.h"
 #include "include/observe/Metrics.h"
+#include "include/state/ConfigurationState.h"
+#include "include/state/GatewaySettings.h"
 
 #include <functional>
 #include <memory>
--- a/include/gateway/CrashExchange.h
+++ b/include/peers/CrashExchange.h
@@ -15,8 +15,8 @@
 #pragma once
 
 #include "generated/frames_generated.h"
-#include "include/gateway/OutgoingFrame.h"
 #include "include/health/RequestQuarantine.h"
+#include "include/peers/OutgoingFrame.h"
 
 #include <map>
 #include <optional>
--- a/include/gateway/LoadExchange.h
+++ b/include/peers/LoadExchange.h
@@ -7,9 +7,9 @@
 // and on DigestPeriod for how often the budget allows a digest.
 #pragma once
 
-#include "include/gateway/OutgoingFrame.h"
-#include "include/gateway/UpstreamRecords.h"
 #include "include/membership/BoxDirectory.h"
+#include "include/peers/OutgoingFrame.h"
+#include "include/state/UpstreamRecords.h"
 #include "include/wire/FrameCodec.h"
 
 #include <optional>
--- a/include/gateway/PeerMesh.h
+++ b/include/peers/PeerMesh.h
@@ -8,12 +8,12 @@
 // contents that boxes send each other.
 #pragma once
 
-#include "include/gateway/GatewaySettings.h"
-#include "include/gateway/LoadExchange.h"
-#include "include/gateway/UpstreamRecords.h"
 #include "include/membership/AnnouncedBoxes.h"
 #include "include/membership/BoxDirectory.h"
 #include "include/observe/Metrics.h"
+#include "include/peers/LoadExchange.h"
+#include "include/state/GatewaySettings.h"
+#include "include/state/UpstreamRecords.h"
 #include "include/wire/FrameLink.h"
 
 #include <functional>
--- a/include/gateway/PeerSync.h
+++ b/include/peers/PeerSync.h
@@ -12,9 +12,9 @@
 #include "include/freshness/FirstListPolicy.h"
 #include "include/freshness/PeerQueries.h"
 #include "include/freshness/RefreshPlanner.h"
-#include "include/gateway/PeerMesh.h"
-#include "include/gateway/RolloutController.h"
-#include "include/gateway/StoreController.h"
+#include "include/peers/PeerMesh.h"
+#include "include/peers/RolloutController.h"
+#include "include/state/StoreController.h"
 
 #include <functional>
 #include <map>
--- a/include/gateway/RelayController.h
+++ b/include/peers/RelayController.h
@@ -5,8 +5,8 @@
 // ChooseRelayPeer for the choice and on PeerMesh for the linked boxes.
 #pragma once
 
-#include "include/gateway/AllowedZones.h"
-#include "include/gateway/PeerMesh.h"
+#include "include/peers/PeerMesh.h"
+#include "include/state/AllowedZones.h"
 
 #include <map>
 #include <optional>
--- a/include/gateway/RolloutController.h
+++ b/include/peers/RolloutController.h
@@ -7,14 +7,14 @@
 #pragma once
 
 #include "include/dialect/Dialect.h"
-#include "include/gateway/GatewaySettings.h"
-#include "include/gateway/RolloutList.h"
-#include "include/gateway/UpstreamList.h"
 #include "include/net/HttpClient.h"
 #include "include/placement/VersionRule.h"
 #include "include/rollout/AnswerQuality.h"
 #include "include/rollout/ServiceRollout.h"
 #include "include/rollout/VersionCensus.h"
+#include "include/state/GatewaySettings.h"
+#include "include/state/RolloutList.h"
+#include "include/state/UpstreamList.h"
 #include "include/wire/FrameCodec.h"
 
 #include <functional>
--- a/include/gateway/StreamController.h
+++ b/include/peers/StreamController.h
@@ -6,9 +6,9 @@
 // PeerMesh for the boxes of the site.
 #pragma once
 
-#include "include/gateway/PeerMesh.h"
-#include "include/gateway/StreamOriginExchange.h"
-#include "include/gateway/UpstreamList.h"
+#include "include/peers/PeerMesh.h"
+#include "include/peers/StreamOriginExchange.h"
+#include "include/state/UpstreamList.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/include/gateway/StreamOriginExchange.h
+++ b/include/peers/StreamOriginExchange.h
@@ -13,8 +13,8 @@
 #pragma once
 
 #include "generated/frames_generated.h"
-#include "include/gateway/OutgoingFrame.h"
 #include "include/membership/StreamKeepers.h"
+#include "include/peers/OutgoingFrame.h"
 #include "include/relay/StreamRecords.h"
 #include "include/rollout/VersionHistory.h"
 
--- a/include/gateway/AnswerRelay.h
+++ b/include/request/AnswerRelay.h
@@ -5,11 +5,11 @@
 // whether the connection is to close after it.
 #pragma once
 
-#include "include/gateway/CallerConnection.h"
-#include "include/gateway/UpstreamExchange.h"
 #include "include/lifecycle/Drain.h"
 #include "include/relay/EventStream.h"
 #include "include/relay/RequestAttempts.h"
+#include "include/request/CallerConnection.h"
+#include "include/request/UpstreamExchange.h"
 
 #include <functional>
 #include <optional>
--- a/include/gateway/Attempt.h
+++ b/include/request/Attempt.h
@@ -5,10 +5,10 @@
 // Owns its exchange with the upstream. Relies on RequestContext for the rest.
 #pragma once
 
-#include "include/gateway/AnswerRelay.h"
-#include "include/gateway/CallerConnection.h"
-#include "include/gateway/RequestContext.h"
-#include "include/gateway/UpstreamExchange.h"
+#include "include/request/AnswerRelay.h"
+#include "include/request/CallerConnection.h"
+#include "include/request/RequestContext.h"
+#include "include/request/UpstreamExchange.h"
 
 #include <memory>
 #include <string>
--- a/include/gateway/CallerServer.h
+++ b/include/request/CallerServer.h
@@ -5,8 +5,8 @@
 // for answering.
 #pragma once
 
-#include "include/gateway/CallerConnection.h"
-#include "include/gateway/RequestContext.h"
+#include "include/request/CallerConnection.h"
+#include "include/request/RequestContext.h"
 
 #include <memory>
 #include <set>
--- a/include/gateway/CrashDetector.h
+++ b/include/request/CrashDetector.h
@@ -9,10 +9,10 @@
 #pragma once
 
 #include "include/base/Time.h"
-#include "include/gateway/UpstreamList.h"
-#include "include/gateway/UpstreamRecords.h"
 #include "include/net/Net.h"
 #include "include/routing/UpstreamTable.h"
+#include "include/state/UpstreamList.h"
+#include "include/state/UpstreamRecords.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/gateway/HttpText.h
+++ b/include/request/HttpText.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "include/dialect/Dialect.h"
-#include "include/gateway/CallerConnection.h"
+#include "include/request/CallerConnection.h"
 
 #include <string>
 #include <string_view>
--- a/include/gateway/PlaceAttempt.h
+++ b/include/request/PlaceAttempt.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "include/admission/Admission.h"
-#include "include/gateway/EvacuationList.h"
-#include "include/gateway/GatewaySettings.h"
-#include "include/gateway/UpstreamList.h"
-#include "include/gateway/UpstreamRecords.h"
 #include "include/placement/UpstreamExclusion.h"
 #include "include/placement/VersionRule.h"
+#include "include/state/EvacuationList.h"
+#include "include/state/GatewaySettings.h"
+#include "include/state/UpstreamList.h"
+#include "include/state/UpstreamRecords.h"
 
 #include <optional>
 #include <set>
--- a/include/gateway/QuarantineController.h
+++ b/include/request/QuarantineController.h
@@ -7,10 +7,10 @@
 // receive reports, and on PeerMesh for the links.
 #pragma once
 
-#include "include/gateway/CrashDetector.h"
-#include "include/gateway/CrashExchange.h"
-#include "include/gateway/PeerMesh.h"
-#include "include/gateway/RequestLog.h"
+#include "include/peers/CrashExchange.h"
+#include "include/peers/PeerMesh.h"
+#include "include/request/CrashDetector.h"
+#include "include/request/RequestLog.h"
 
 #include <optional>
 #include <random>
--- a/include/gateway/ReachMonitor.h
+++ b/include/request/ReachMonitor.h
@@ -5,10 +5,10 @@
 // Owns the state of each service and the probes. ServiceReach decides when a service is lost.
 #pragma once
 
-#include "include/gateway/UpstreamList.h"
 #include "include/health/ServiceReach.h"
 #include "include/net/Net.h"
 #include "include/observe/Metrics.h"
+#include "include/state/UpstreamList.h"
 
 #include <functional>
 #include <random>
--- a/include/gateway/RelayAttempt.h
+++ b/include/request/RelayAttempt.h
@@ -6,7 +6,7 @@
 // at one box.
 #pragma once
 
-#include "include/gateway/Attempt.h"
+#include "include/request/Attempt.h"
 
 #include <memory>
 #include <optional>
--- a/include/gateway/RequestHandler.h
+++ b/include/request/RequestHandler.h
@@ -5,13 +5,13 @@
 // Owns the request and what became of its attempts. Relies on RequestContext for the rest.
 #pragma once
 
-#include "include/gateway/AnswerRelay.h"
-#include "include/gateway/Attempt.h"
-#include "include/gateway/CallerConnection.h"
-#include "include/gateway/RelayAttempt.h"
-#include "include/gateway/RequestContext.h"
 #include "include/relay/RequestAttempts.h"
 #include "include/relay/StreamRecords.h"
+#include "include/request/AnswerRelay.h"
+#include "include/request/Attempt.h"
+#include "include/request/CallerConnection.h"
+#include "include/request/RelayAttempt.h"
+#include "include/request/RequestContext.h"
 
 #include <optional>
 #include <set>
--- a/include/gateway/RequestLog.h
+++ b/include/request/RequestLog.h
@@ -7,13 +7,13 @@
 
 #include "include/admission/Admission.h"
 #include "include/dialect/Dialect.h"
-#include "include/gateway/ConfigurationState.h"
-#include "include/gateway/ConnectionReport.h"
-#include "include/gateway/CrashDetector.h"
-#include "include/gateway/PlaceAttempt.h"
-#include "include/gateway/StreamController.h"
 #include "include/observe/Metrics.h"
+#include "include/peers/StreamController.h"
 #include "include/relay/RequestAttempts.h"
+#include "include/request/ConnectionReport.h"
+#include "include/request/CrashDetector.h"
+#include "include/request/PlaceAttempt.h"
+#include "include/state/ConfigurationState.h"
 
 #include <optional>
 #include <string>
--- a/include/gateway/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -5,9 +5,9 @@
 // for the head of the answer.
 #pragma once
 
-#include "include/gateway/ConnectionReport.h"
-#include "include/gateway/RequestContext.h"
 #include "include/relay/AttemptBounds.h"
+#include "include/request/ConnectionReport.h"
+#include "include/request/RequestContext.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
--- a/include/gateway/AllowedZones.h
+++ b/include/state/AllowedZones.h
@@ -2,8 +2,8 @@
 // team.
 #pragma once
 
-#include "include/gateway/GatewaySettings.h"
 #include "include/routing/Catalog.h"
+#include "include/state/GatewaySettings.h"
 
 #include <string>
 
--- a/include/gateway/StoreController.h
+++ b/include/state/StoreController.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include "include/dialect/Dialect.h"
-#include "include/gateway/ConfigurationState.h"
-#include "include/gateway/EvacuationList.h"
-#include "include/gateway/GatewaySettings.h"
-#include "include/gateway/RolloutList.h"
-#include "include/gateway/UpstreamList.h"
 #include "include/observe/Metrics.h"
+#include "include/state/ConfigurationState.h"
+#include "include/state/EvacuationList.h"
+#include "include/state/GatewaySettings.h"
+#include "include/state/RolloutList.h"
+#include "include/state/UpstreamList.h"
 #include "include/store/StoreWatch.h"
 
 #include <functional>
--- a/include/gateway/UpstreamList.h
+++ b/include/state/UpstreamList.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "include/freshness/StateAge.h"
-#include "include/gateway/UpstreamRecords.h"
 #include "include/routing/UpstreamTable.h"
+#include "include/state/UpstreamRecords.h"
 
 #include <optional>
 #include <string>
--- a/include/gateway/UpstreamRecords.h
+++ b/include/state/UpstreamRecords.h
@@ -6,7 +6,6 @@
 // PeerMesh the announcements of other boxes.
 #pragma once
 
-#include "include/gateway/UpstreamPool.h"
 #include "include/health/BrittleUpstreams.h"
 #include "include/health/ColdUpstreams.h"
 #include "include/health/UpstreamAvoidance.h"
@@ -18,6 +17,7 @@
 #include "include/placement/UpstreamLoads.h"
 #include "include/placement/WorkTimes.h"
 #include "include/routing/UpstreamTable.h"
+#include "include/state/UpstreamPool.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/CrashExchange.cpp
+++ b/src/peers/CrashExchange.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/CrashExchange.h"
+#include "include/peers/CrashExchange.h"
 
 #include "include/membership/RingRoute.h"
 #include "include/membership/SampleBoxes.h"
--- a/src/gateway/PeerMesh.cpp
+++ b/src/peers/PeerMesh.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/PeerMesh.h"
+#include "include/peers/PeerMesh.h"
 
 #include "include/membership/DigestPeriod.h"
 #include "include/observe/BuildId.h"
--- a/src/gateway/PeerSync.cpp
+++ b/src/peers/PeerSync.cpp
@@ -1,7 +1,7 @@
-#include "include/gateway/PeerSync.h"
+#include "include/peers/PeerSync.h"
 
-#include "include/gateway/PeerMessages.h"
 #include "include/observe/Events.h"
+#include "include/peers/PeerMessages.h"
 
 #include <algorithm>
 #include <random>
--- a/src/gateway/RelayController.cpp
+++ b/src/peers/RelayController.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/RelayController.h"
+#include "include/peers/RelayController.h"
 
 #include "include/base/Hash.h"
 #include "include/relay/RelayPeer.h"
--- a/src/gateway/RolloutController.cpp
+++ b/src/peers/RolloutController.cpp
@@ -1,9 +1,9 @@
-#include "include/gateway/RolloutController.h"
+#include "include/peers/RolloutController.h"
 
 #include "include/base/Hash.h"
 #include "include/base/HttpStatus.h"
-#include "include/gateway/RolloutMessages.h"
 #include "include/observe/Events.h"
+#include "include/peers/RolloutMessages.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/RolloutMessages.cpp
+++ b/src/peers/RolloutMessages.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/RolloutMessages.h"
+#include "include/peers/RolloutMessages.h"
 
 namespace onyx {
 
--- a/src/gateway/StreamController.cpp
+++ b/src/peers/StreamController.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/StreamController.h"
+#include "include/peers/StreamController.h"
 
 #include "include/wire/FrameCodec.h"
 
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/peers/StreamOriginExchange.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/StreamOriginExchange.h"
+#include "include/peers/StreamOriginExchange.h"
 
 #include "include/base/Hash.h"
 #include "include/wire/FrameCodec.h"
--- a/src/gateway/AnswerRelay.cpp
+++ b/src/request/AnswerRelay.cpp
@@ -1,7 +1,7 @@
-#include "include/gateway/AnswerRelay.h"
+#include "include/request/AnswerRelay.h"
 
 #include "include/base/HttpStatus.h"
-#include "include/gateway/HttpText.h"
+#include "include/request/HttpText.h"
 
 #include <boost/beast/http/status.hpp>
 
--- a/src/gateway/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -1,7 +1,7 @@
-#include "include/gateway/Attempt.h"
+#include "include/request/Attempt.h"
 
-#include "include/gateway/HttpText.h"
 #include "include/health/AttemptHealthSignal.h"
+#include "include/request/HttpText.h"
 
 #include <algorithm>
 
--- a/src/gateway/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/CallerConnection.h"
+#include "include/request/CallerConnection.h"
 
 #include "include/net/SocketTools.h"
 
--- a/src/gateway/CallerServer.cpp
+++ b/src/request/CallerServer.cpp
@@ -1,8 +1,8 @@
-#include "include/gateway/CallerServer.h"
+#include "include/request/CallerServer.h"
 
 #include "include/base/HttpStatus.h"
-#include "include/gateway/HttpText.h"
-#include "include/gateway/RequestHandler.h"
+#include "include/request/HttpText.h"
+#include "include/request/RequestHandler.h"
 
 namespace onyx {
 
--- a/src/gateway/CrashDetector.cpp
+++ b/src/request/CrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/CrashDetector.h"
+#include "include/request/CrashDetector.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/gateway/HttpText.cpp
+++ b/src/request/HttpText.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/HttpText.h"
+#include "include/request/HttpText.h"
 
 #include <fmt/format.h>
 #include <boost/beast/http/rfc7230.hpp>
--- a/src/gateway/PlaceAttempt.cpp
+++ b/src/request/PlaceAttempt.cpp
@@ -1,8 +1,8 @@
-#include "include/gateway/PlaceAttempt.h"
+#include "include/request/PlaceAttempt.h"
 
 #include "include/base/Hash.h"
-#include "include/gateway/AllowedZones.h"
 #include "include/placement/LoadEstimate.h"
+#include "include/state/AllowedZones.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/QuarantineController.cpp
+++ b/src/request/QuarantineController.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/QuarantineController.h"
+#include "include/request/QuarantineController.h"
 
 #include "include/base/Hash.h"
 #include "include/health/RequestFingerprint.h"
--- a/src/gateway/ReachMonitor.cpp
+++ b/src/request/ReachMonitor.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/ReachMonitor.h"
+#include "include/request/ReachMonitor.h"
 
 #include "include/observe/Events.h"
 
--- a/src/gateway/RelayAttempt.cpp
+++ b/src/request/RelayAttempt.cpp
@@ -1,8 +1,8 @@
-#include "include/gateway/RelayAttempt.h"
+#include "include/request/RelayAttempt.h"
 
 #include "include/base/HttpStatus.h"
-#include "include/gateway/HttpText.h"
-#include "include/gateway/RelayHeaders.h"
+#include "include/request/HttpText.h"
+#include "include/request/RelayHeaders.h"
 
 #include <algorithm>
 
--- a/src/gateway/RequestHandler.cpp
+++ b/src/request/RequestHandler.cpp
@@ -1,10 +1,10 @@
-#include "include/gateway/RequestHandler.h"
+#include "include/request/RequestHandler.h"
 
 #include "include/base/Hash.h"
 #include "include/base/HttpStatus.h"
-#include "include/gateway/HttpText.h"
-#include "include/gateway/RelayHeaders.h"
 #include "include/health/RequestFingerprint.h"
+#include "include/request/HttpText.h"
+#include "include/request/RelayHeaders.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/gateway/RequestLog.cpp
+++ b/src/request/RequestLog.cpp
@@ -1,9 +1,9 @@
-#include "include/gateway/RequestLog.h"
+#include "include/request/RequestLog.h"
 
 #include "include/base/HttpStatus.h"
-#include "include/gateway/RelayHeaders.h"
 #include "include/health/RequestFingerprint.h"
 #include "include/observe/Events.h"
+#include "include/request/RelayHeaders.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
--- a/src/gateway/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/UpstreamExchange.h"
+#include "include/request/UpstreamExchange.h"
 
 #include "include/base/HttpStatus.h"
 #include "include/net/SocketTools.h"
--- a/src/gateway/EvacuationList.cpp
+++ b/src/state/EvacuationList.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/EvacuationList.h"
+#include "include/state/EvacuationList.h"
 
 #include "include/observe/Events.h"
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/state/GatewaySettings.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/GatewaySettings.h"
+#include "include/state/GatewaySettings.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/gateway/RolloutList.cpp
+++ b/src/state/RolloutList.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/RolloutList.h"
+#include "include/state/RolloutList.h"
 
 #include "include/observe/Events.h"
 
--- a/src/gateway/StoreController.cpp
+++ b/src/state/StoreController.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/StoreController.h"
+#include "include/state/StoreController.h"
 
 #include "include/observe/Events.h"
 
--- a/src/gateway/UpstreamPool.cpp
+++ b/src/state/UpstreamPool.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/UpstreamPool.h"
+#include "include/state/UpstreamPool.h"
 
 #include "include/net/SocketTools.h"
 
--- a/src/gateway/UpstreamRecords.cpp
+++ b/src/state/UpstreamRecords.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/UpstreamRecords.h"
+#include "include/state/UpstreamRecords.h"
 
 #include "include/base/Hash.h"
 
--- a/tests/ConfigurationStateTest.cpp
+++ b/tests/ConfigurationStateTest.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/ConfigurationState.h"
+#include "include/state/ConfigurationState.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/CrashExchangeTest.cpp
+++ b/tests/CrashExchangeTest.cpp
@@ -1,7 +1,7 @@
 // Replays a site whose boxes exchange crashes only through the frames of CrashExchange.
 #include "include/base/Hash.h"
-#include "include/gateway/CrashExchange.h"
 #include "include/membership/BoxDirectory.h"
+#include "include/peers/CrashExchange.h"
 #include "include/wire/FrameCodec.h"
 
 #include <catch2/catch.hpp>
--- a/tests/Fleet.h
+++ b/tests/Fleet.h
@@ -4,8 +4,8 @@
 // of each other's requests only through the frames of LoadExchange.
 #pragma once
 
-#include "include/gateway/LoadExchange.h"
-#include "include/gateway/PlaceAttempt.h"
+#include "include/peers/LoadExchange.h"
+#include "include/request/PlaceAttempt.h"
 
 #include <functional>
 #include <map>
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/LoadExchange.h"
+#include "include/peers/LoadExchange.h"
 
 #include "include/base/Hash.h"
 #include "tests/Fleet.h"
--- a/tests/PartQuarantineReplayTest.cpp
+++ b/tests/PartQuarantineReplayTest.cpp
@@ -1,9 +1,9 @@
 // Replays a site whose upstreams crash under one part of prompts, no two requests alike, while the
 // boxes exchange crashes only through the frames of CrashExchange, some of which are late or lost.
 #include "include/base/Hash.h"
-#include "include/gateway/CrashExchange.h"
 #include "include/health/RequestFingerprint.h"
 #include "include/membership/BoxDirectory.h"
+#include "include/peers/CrashExchange.h"
 #include "include/wire/FrameCodec.h"
 
 #include <catch2/catch.hpp>
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/PeerMessages.h"
+#include "include/peers/PeerMessages.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/PlaceAttemptTest.cpp
+++ b/tests/PlaceAttemptTest.cpp
@@ -1,5 +1,5 @@
 // The place of an attempt in services of thousands of upstreams.
-#include "include/gateway/PlaceAttempt.h"
+#include "include/request/PlaceAttempt.h"
 
 #include "include/base/Hash.h"
 
--- a/tests/StreamOriginReplayTest.cpp
+++ b/tests/StreamOriginReplayTest.cpp
@@ -1,7 +1,7 @@
 // Replays a site whose boxes exchange the origins of streams only through the datagrams of
 // StreamOriginExchange, some of which are lost or late, while boxes are killed and restarted and a
 // second software version appears beside the first.
-#include "include/gateway/StreamOriginExchange.h"
+#include "include/peers/StreamOriginExchange.h"
 #include "include/wire/FrameCodec.h"
 
 #include <catch2/catch.hpp>
--- a/tests/UpstreamListTest.cpp
+++ b/tests/UpstreamListTest.cpp
@@ -1,4 +1,4 @@
-#include "include/gateway/UpstreamList.h"
+#include "include/state/UpstreamList.h"
 
 #include "include/base/Hash.h"
 
