--- /dev/null
+++ b/include/admission/ServiceRoom.h
@@ -0,0 +1,37 @@
+// Decides how many requests for a service all boxes together admit: about as many as its upstreams
+// can finish in time. Run by the box that collects the counts of all boxes (RoomExchange).
+//
+// The load that it answers: arrivals beyond what the upstreams finish, so that every request waits
+// behind a queue, is late when it is answered, and many are turned away by full upstreams. Callers
+// need an answer within the objective or a refusal at once; so the queue is kept as short as the
+// objectives allow and the rest is refused on arrival.
+//
+// Inputs: the counts of the boxes (RoomCounts), the slots of the service's upstreams and the number
+// of boxes of the site. The work of a request is its mean time at an upstream while there is no
+// queue, by priority. What the upstreams finish per second while all slots are busy tells their
+// speed, so that a slow service is told from a full one: slow upstreams finish less, and fewer
+// requests are admitted; with free slots nothing is refused.
+#pragma once
+
+#include "include/admission/RoomCounts.h"
+
+#include <map>
+#include <optional>
+
+namespace onyx {
+
+// What a service could carry.
+struct RoomSupply {
+    double slots = 0;  // Of all its upstreams that take requests.
+    size_t boxes = 1;  // Boxes of the site; those that do not report use their part of the room.
+};
+
+// Not thread safe: one task owns it.
+class ServiceRoom {
+public:
+    // Takes in the newest counts of all boxes and returns which requests are admitted from now on.
+    // Preconditions: called every few hundred milliseconds; `now` does not decrease.
+    RoomShares update(const RoomCounts& counts, const RoomSupply& supply, MonoTime now);
+};
+
+}  // namespace onyx
