--- /dev/null
+++ b/include/request/AdmitStep.h
@@ -0,0 +1,41 @@
+// The first step of a request: whether this box handles it, by Admit and RequestQuarantine, and
+// whether it takes what another box relays.
+#pragma once
+
+#include "include/request/CallerRequest.h"
+#include "include/request/RequestContext.h"
+
+#include <optional>
+#include <string_view>
+
+namespace onyx {
+
+// One request. Not thread safe: one io_context, one task.
+class AdmitStep {
+public:
+    // Preconditions: both arguments outlive the step.
+    AdmitStep(RequestContext& context, CallerRequest& request)
+        : m_context(context), m_request(request) {}
+
+    // Decides when the request arrives. Returns why it is refused, nothing if it is admitted.
+    // Preconditions: the head was read; called once.
+    std::optional<Refusal> admitFirst();
+    // Decides again: before each further attempt, so that a request that waited is not handled by
+    // what is no longer in force, and for the service that began its stream. A refusal leaves the
+    // admission before it as it is. `service`: that one; empty: any. Preconditions: as above.
+    std::optional<Refusal> admit(std::string_view service);
+
+    // The configuration at the last admission or its refusal. Preconditions: none.
+    ConfigurationReport decidedOn() const;
+
+private:
+    std::optional<Refusal> checkRelayed();
+    std::optional<Refusal> checkRelayedService() const;
+    std::optional<Refusal> checkQuarantine(MonoTime now);
+
+    RequestContext& m_context;
+    CallerRequest& m_request;
+    std::optional<ConfigurationReport> m_decidedOn;
+};
+
+}  // namespace onyx
--- /dev/null
+++ b/include/request/StreamStep.h
@@ -0,0 +1,50 @@
+// The stream of a request: finds what began a stream that the caller takes up, and records what
+// begins a new one, so that it goes on at the same version wherever the caller comes back.
+#pragma once
+
+#include "include/request/CallerRequest.h"
+#include "include/request/RequestContext.h"
+#include "include/request/RequestProgress.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace onyx {
+
+// One request. Not thread safe: one io_context, one task.
+class StreamStep {
+public:
+    // Preconditions: all arguments outlive the step.
+    StreamStep(RequestContext& context, CallerRequest& request, const RequestProgress& progress)
+        : m_context(context), m_request(request), m_progress(progress) {}
+
+    // Finds what began the stream which the request takes up; a refusal if no box knows it, nothing
+    // if one does or the request takes none up. Preconditions: the request was admitted.
+    Task<std::optional<Refusal>> findOrigin();
+
+    // Records that the caller is about to get the first event. Preconditions: as above.
+    void noteBegun();
+    // Records that the request has ended. Preconditions: none.
+    void end();
+
+    // What began the stream, once its first event is on its way to the caller, or at once where the
+    // caller takes the stream up. Preconditions: none.
+    const std::optional<StreamOrigin>& origin() const { return m_origin; }
+    // The service that began the stream; empty: not known. Preconditions: none.
+    std::string_view service() const {
+        return m_origin ? std::string_view(m_origin->service) : std::string_view();
+    }
+
+private:
+    std::vector<StreamKey> keys();
+    Millis span() const;
+
+    RequestContext& m_context;
+    CallerRequest& m_request;
+    const RequestProgress& m_progress;
+    std::optional<StreamOrigin> m_origin;
+    bool m_recorded = false;  // The origin was given to StreamController.
+};
+
+}  // namespace onyx
