--- a/include/membership/RoomKeepers.h
+++ b/include/membership/RoomKeepers.h
@@ -34,9 +34,32 @@
     std::vector<std::string> rootsOf(uint64_t service, std::string_view zone) const;
     // The collectors of each group of the site, best first. Preconditions: none.
     std::vector<std::vector<std::string>> allCollectors(uint64_t service) const;
+    // The collectors of each group in `zone`, best first. Preconditions: none.
+    std::vector<std::vector<std::string>> collectorsIn(uint64_t service,
+                                                       std::string_view zone) const;
     // The boxes of the group of `box`. Preconditions: none.
     std::vector<std::string> groupOf(std::string_view box) const;
-    size_t boxCount() const;
+    size_t boxCount() const { return m_boxCount; }
+
+private:
+    struct Box {
+        std::string address;
+        uint64_t hash = 0;  // Of the address.
+    };
+    using Group = std::vector<Box>;  // By hash.
+    struct Zone {
+        std::string name;
+        uint64_t hash = 0;  // Of the name.
+        std::vector<Group> groups;
+    };
+
+    const Group* findGroup(std::string_view box) const;
+    static std::vector<Group> Divide(std::vector<Box> boxes);
+    static std::vector<std::string> CollectorsOf(const Group& group, uint64_t service);
+    static std::vector<std::string> BestBoxes(const Zone& zone, uint64_t service, size_t count);
+
+    std::vector<Zone> m_zones;  // By name.
+    size_t m_boxCount = 0;
 };
 
 }  // namespace onyx
--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -16,8 +16,13 @@
 #include "include/admission/ServiceRoom.h"
 #include "include/base/Ids.h"
 #include "include/membership/RoomKeepers.h"
+#include "include/peers/CollectorChoice.h"
 #include "include/peers/OutgoingFrame.h"
+#include "include/peers/RoomMessages.h"
+#include "include/peers/RoomReports.h"
+#include "include/peers/RoomRounds.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +40,12 @@
 public:
     // Time in milliseconds between two reports of a box, and two rounds of a collector or root.
     static constexpr Millis kPeriod = 200;
+    // Time in milliseconds for which a root goes on after the last report of a shortage.
+    static constexpr Millis kAfterShortage = 2000;
+    // Time in milliseconds for which a box reports after a root asked for it.
+    static constexpr Millis kReportTime = 1000;
+    // Services that are followed; further ones are ignored.
+    static constexpr size_t kMaxServices = 256;
 
     // `self`, `zone`: address and zone of this box. Preconditions: none.
     RoomExchange(std::string self, std::string zone);
@@ -44,6 +55,9 @@
     // Sets the slots of the service's upstreams that take requests, as this box knows them.
     // Preconditions: none.
     void setSlots(const ServiceId& service, double slots);
+    // Forgets a service that is no longer served. Messages about services of which neither slots
+    // nor counts were set are ignored. Preconditions: none.
+    void forget(const ServiceId& service);
 
     // Whether this box should report on `service` though it sees no shortage itself.
     // Preconditions: `now` does not decrease between calls.
@@ -62,6 +76,71 @@
     // The newest shares of the site, of any age; nothing if there were none.
     // Preconditions: none.
     std::optional<SiteShares> sharesOf(const ServiceId& service) const;
+
+private:
+    // Boxes whose reports a collector takes: those of its group, and others while boxes know
+    // different ones of the site.
+    static constexpr size_t kMaxReporters = 2 * RoomKeepers::kGroupSize;
+    // Collectors whose sums a root takes.
+    static constexpr size_t kMaxCollectors = 256;
+
+    // The keepers of a service, as this box sees them.
+    struct Keepers {
+        std::vector<std::string> collectors;  // Of this box's group.
+        std::vector<std::string> roots;       // Of this box's zone.
+        std::optional<size_t> asCollector;    // The place of this box among them.
+        std::optional<size_t> asRoot;
+    };
+    // This box as one that reports.
+    struct Reporter {
+        std::optional<RoomCounts> counts;  // Not sent yet.
+        MonoTime countsAt;
+        std::optional<MonoTime> wantedAt;  // When a root last asked for reports.
+        CollectorChoice choice;
+        RoomRounds rounds;
+        std::optional<SiteShares> shares;
+    };
+    struct Collector {
+        RoomReports reports{kMaxReporters};
+        RoomRounds rounds;
+    };
+    struct Root {
+        RoomReports sums{kMaxCollectors};
+        std::optional<MonoTime> pressedAt;  // When a sum last told of a shortage.
+        MonoTime activeSince;
+        uint64_t round = 0;
+        ServiceRoom room;
+    };
+    struct Service {
+        explicit Service(std::string name);
+        std::string name;
+        uint64_t hash = 0;
+        double slots = 0;
+        std::optional<Keepers> keepers;  // Worked out when needed.
+        Reporter reporter;
+        Collector collector;
+        Root root;
+    };
+    using Frames = std::vector<OutgoingFrame>;
+
+    Service* follow(const ServiceId& service);
+    Service* find(const std::string& service);
+    const Service* find(const std::string& service) const;
+    const Keepers& keepersOf(Service& service);
+    static bool IsReportWanted(const Service& service, MonoTime now);
+
+    void report(Service& service, MonoTime now, Frames& frames);
+    void collect(Service& service, MonoTime now, Frames& frames);
+    void decide(Service& service, MonoTime now, Frames& frames);
+    static bool IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now);
+    std::vector<std::string> activeCollectors(const Service& service, MonoTime now) const;
+    void passOn(Service& service, SharesMessage message, MonoTime now, Frames& frames);
+    static void Take(Service& service, SharesMessage message, size_t collector, MonoTime now);
+
+    std::string m_self;
+    std::string m_zone;
+    RoomKeepers m_keepers;
+    std::map<std::string, Service> m_services;
 };
 
 }  // namespace onyx
