--- a/include/admission/RoomCounts.h
+++ b/include/admission/RoomCounts.h
@@ -21,7 +21,7 @@
 // Requests of a class, per second.
 struct ClassCounts {
     DemandClass of;
-    double arrived = 0;   // Before admission.
+    double arrived = 0;   // Before admission, without those that return before their time.
     double admitted = 0;  // Of these.
 };
 
@@ -39,6 +39,8 @@
 struct RoomCounts {
     // Bounds the size of a message. Classes beyond it are counted together, as those of team 0.
     static constexpr size_t kMaxClasses = 48;
+    // Less urgent priorities are counted together with the last one of these.
+    static constexpr size_t kMaxPriorities = 16;
 
     size_t boxes = 1;      // That the counts cover.
     bool pressed = false;  // Some of them saw signs of a shortage.
--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -7,14 +7,16 @@
 // each period without (additive increase, multiplicative decrease).
 #pragma once
 
+#include "include/admission/RecentRate.h"
+#include "include/admission/RefusedRequests.h"
 #include "include/admission/RoomCounts.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string_view>
+#include <random>
 #include <variant>
-#include <vector>
 
 namespace onyx {
 
@@ -43,12 +45,15 @@
 public:
     // Age in milliseconds up to which shares of the site are used as they are.
     static constexpr Millis kMaxSharesAge = 1000;
+    // Classes that are counted by themselves; further teams are counted as team 0.
+    static constexpr size_t kMaxClasses = 1024;
 
     // `seed`: of the random times after which callers may retry. Preconditions: none.
     explicit RoomGate(uint64_t seed);
 
     // Decides on a request that arrives, and counts it. `fingerprint`: of the request, the same
-    // when its caller sends it again. Preconditions: `now` does not decrease between calls.
+    // when its caller sends it again: before the time that it was told it is refused again and not
+    // counted. Preconditions: `now` does not decrease between calls.
     RoomDecision decide(const DemandClass& of, uint64_t fingerprint, MonoTime now);
     // Counts a request that is admitted without being asked about: one that may have run already.
     // Preconditions: as above.
@@ -66,6 +71,69 @@
     RoomCounts counts(MonoTime now);
     // Whether requests are refused at present. Preconditions: `now` as above.
     bool isLimited(MonoTime now);
+
+private:
+    struct ClassState {
+        RecentRate arrived{kCountStepMs};
+        RecentRate admitted{kCountStepMs};
+        RecentRate arrivedLong{kOwnStepMs};
+        double credit = 0;  // Requests that may be sent; each one that arrives adds its fraction.
+        MonoTime lastArrival;
+    };
+    struct PriorityState {
+        Millis objective = 0;
+        RecentRate finished{kCountStepMs};
+        RecentRate late{kCountStepMs};
+        RecentRate busyMs{kCountStepMs};
+        RecentRate firstByteMs{kCountStepMs};
+    };
+    // What this box admits without recent shares.
+    struct OwnRoom {
+        double rate = 0;  // Requests per second.
+        MonoTime lastCut;
+    };
+    struct SlowAnswer {
+        bool slow = false;
+        MonoTime at;
+    };
+
+    static constexpr Millis kCountStepMs = 50;  // Counts cover 600 ms,
+    static constexpr Millis kOwnStepMs = 250;   // the rates for the own decision 3 s.
+    static constexpr size_t kAnswers = 8;  // The latest ones that show whether there is a queue.
+
+    ClassState& classOf(const DemandClass& of, MonoTime now);
+    double nextRandom();
+    Millis spreadRetryAfter(Millis mean);
+    NoRoom refuse(const DemandClass& of, uint64_t fingerprint, MonoTime now);
+
+    bool hasRecentShares(MonoTime now) const;
+    const RoomShares& shares(MonoTime now);
+    void refreshOwn(MonoTime now);
+    void adjustOwn(const RoomEnd& end, MonoTime now);
+    void cutOwn(MonoTime now);
+    RoomShares ownShares(MonoTime now);
+    double arrivalRate(MonoTime now);
+
+    bool isPressed(MonoTime now) const;
+    void forgetIdle(MonoTime now);
+
+    std::mt19937_64 m_random;
+    std::map<DemandClass, ClassState> m_classes;
+    std::map<int, PriorityState> m_priorities;
+    RecentRate m_arrivedLong{kOwnStepMs};
+    RecentRate m_admittedLong{kOwnStepMs};
+    RecentRate m_declined{kCountStepMs};
+    std::optional<MonoTime> m_lastDeclined;
+    std::array<SlowAnswer, kAnswers> m_answers;
+    size_t m_nextAnswer = 0;
+    int64_t m_inFlight = 0;
+
+    RefusedRequests m_refused;
+    RoomShares m_shares;
+    std::optional<MonoTime> m_sharesAsOf;
+    std::optional<OwnRoom> m_own;
+    RoomShares m_ownShares;
+    std::optional<MonoTime> m_ownSharesAt;
 };
 
 }  // namespace onyx
--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -32,6 +32,46 @@
     // Takes in the newest counts of all boxes and returns which requests are admitted from now on.
     // Preconditions: called every few hundred milliseconds; `now` does not decrease.
     RoomShares update(const RoomCounts& counts, const RoomSupply& supply, MonoTime now);
+
+private:
+    // A priority's requests while there is no queue.
+    struct Usual {
+        double work = 0;         // Seconds at an upstream.
+        double firstByteMs = 0;  // Milliseconds to the first byte.
+    };
+    // The counts of all classes and priorities together.
+    struct Totals {
+        double slots = 0;     // Part of the boxes that the counts cover.
+        double inFlight = 0;  // Requests.
+        double declined = 0;  // Requests per second, as the following.
+        double arrived = 0;
+        double finished = 0;
+        double late = 0;
+        double demand = 0;    // Slots that the arrivals would keep busy.
+        double carried = 0;   // Work finished per second.
+        double meanWork = 0;  // Seconds at an upstream.
+    };
+
+    void learnUsual(const RoomCounts& counts, double slots);
+    void learnUsual(const PriorityCounts& counts, double inFlight, double slots);
+    double workOf(int priority) const;
+    Totals totalsOf(const RoomCounts& counts, double slots) const;
+    void measureSpeed(const Totals& totals, MonoTime now);
+    double allowedWaitMs(const RoomCounts& counts, const Totals& totals) const;
+    double inFlightLimit(const RoomCounts& counts, const Totals& totals) const;
+    bool isShort(const Totals& totals, double limit) const;
+    void updateLimited(const Totals& totals, double limit, MonoTime now);
+    void adjustDepth(const Totals& totals, MonoTime now);
+    RoomShares sharesOf(const RoomCounts& counts, const Totals& totals, double limit) const;
+
+    std::map<int, Usual> m_usual;  // By priority.
+    double m_speed = 0;            // Work that the upstreams finish per second.
+    double m_depth = 1;            // Part of the limit on requests in flight, as corrected.
+    bool m_limited = false;
+    MonoTime m_limitedSince;
+    std::optional<MonoTime> m_busySince;   // All slots are busy.
+    std::optional<MonoTime> m_amplySince;  // There is room for all.
+    std::optional<MonoTime> m_lastCut;
 };
 
 }  // namespace onyx
--- /dev/null
+++ b/src/admission/ServiceRoom.cpp
@@ -0,0 +1,251 @@
+#include "include/admission/ServiceRoom.h"
+
+#include "include/admission/FairShares.h"
+
+#include <algorithm>
+
+namespace onyx {
+
+namespace {
+
+// Part of the slots up to which requests do not wait, so that their time is the usual one.
+constexpr double kFreeFraction = 0.7;
+// Part of the difference by which the usual time follows a longer measured one.
+constexpr double kUsualRise = 0.1;
+constexpr double kUsualFall = 0.5;
+
+// Part of the time left until the objective that a request may wait at an upstream.
+constexpr double kWaitFraction = 0.5;
+// Part of the requests that a priority has to have for its objective to count.
+constexpr double kNotablePart = 0.05;
+
+// A shortage: the part of the arrivals that upstreams turn away, and the least number of them per
+// second; the part of the answers that are late; the demand in parts of the room.
+constexpr double kDeclinedPart = 0.01;
+constexpr double kMinDeclined = 3;
+constexpr double kLatePart = 0.05;
+constexpr double kShortDemand = 1.1;
+constexpr double kAmpleDemand = 0.95;
+constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
+
+// In milliseconds. The time that the counts cover; they tell the speed only if all slots were busy
+// throughout.
+constexpr Millis kCountsSpan = 600;
+constexpr double kSpeedSmoothing = 0.5;
+constexpr double kSpeedRecovery = 0.2;
+// In seconds, within which the requests in flight are brought to the limit.
+constexpr double kCorrectionTime = 0.4;
+constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
+
+// The depth of the queue: it is cut at most once in the time that it takes to see what a cut does.
+constexpr Millis kCutInterval = 600;
+constexpr double kDepthCut = 0.85;
+constexpr double kDepthRaise = 0.02;
+constexpr double kMinDepth = 0.1;
+
+// In milliseconds. Bounds of the time after which a refused caller may return.
+constexpr double kMinRetryAfter = 300;
+constexpr double kMaxRetryAfter = 10000;
+
+double Covered(const RoomCounts& counts, const RoomSupply& supply) {
+    if (supply.boxes == 0) {
+        return 1;
+    }
+    return std::min(1.0, static_cast<double>(counts.boxes) / static_cast<double>(supply.boxes));
+}
+
+double Follow(double value, double measured) {
+    return value + (measured < value ? kUsualFall : kUsualRise) * (measured - value);
+}
+
+}  // namespace
+
+RoomShares ServiceRoom::update(const RoomCounts& counts, const RoomSupply& supply, MonoTime now) {
+    const double slots = supply.slots * Covered(counts, supply);
+    if (slots <= 0) {
+        return {};
+    }
+    learnUsual(counts, slots);
+    const Totals totals = totalsOf(counts, slots);
+    measureSpeed(totals, now);
+    adjustDepth(totals, now);
+    const double limit = inFlightLimit(counts, totals);
+    updateLimited(totals, limit, now);
+    if (!m_limited) {
+        return {};
+    }
+    return sharesOf(counts, totals, limit);
+}
+
+void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
+    for (const PriorityCounts& entry : counts.priorities) {
+        if (entry.finished > 0) {
+            learnUsual(entry, counts.inFlight, slots);
+        }
+    }
+}
+
+void ServiceRoom::learnUsual(const PriorityCounts& counts, double inFlight, double slots) {
+    const double measured = counts.busyMs / counts.finished / 1000;
+    const auto known = m_usual.find(counts.priority);
+    if (known == m_usual.end()) {
+        // With all slots busy, the rest of the time was spent waiting for one.
+        const double working = inFlight > slots ? slots / inFlight : 1;
+        m_usual[counts.priority] = {measured * working, counts.firstByteMs * working};
+        return;
+    }
+    Usual& usual = known->second;
+    const bool isFree = inFlight < kFreeFraction * slots;
+    if (isFree || measured < usual.work) {
+        usual.work = Follow(usual.work, measured);
+    }
+    if (isFree || counts.firstByteMs < usual.firstByteMs) {
+        usual.firstByteMs = Follow(usual.firstByteMs, counts.firstByteMs);
+    }
+}
+
+// A priority of which nothing has finished yet is taken to be like the others.
+double ServiceRoom::workOf(int priority) const {
+    const auto known = m_usual.find(priority);
+    if (known != m_usual.end()) {
+        return known->second.work;
+    }
+    double sum = 0;
+    for (const auto& [other, usual] : m_usual) {
+        sum += usual.work;
+    }
+    return m_usual.empty() ? 0 : sum / static_cast<double>(m_usual.size());
+}
+
+ServiceRoom::Totals ServiceRoom::totalsOf(const RoomCounts& counts, double slots) const {
+    Totals totals;
+    totals.slots = slots;
+    totals.inFlight = counts.inFlight;
+    totals.declined = counts.declined;
+    for (const ClassCounts& entry : counts.classes) {
+        totals.arrived += entry.arrived;
+        totals.demand += entry.arrived * workOf(entry.of.priority);
+    }
+    for (const PriorityCounts& entry : counts.priorities) {
+        totals.finished += entry.finished;
+        totals.late += entry.late;
+        totals.carried += entry.finished * workOf(entry.priority);
+    }
+    if (totals.finished > 0) {
+        totals.meanWork = totals.carried / totals.finished;
+    } else if (totals.arrived > 0) {
+        totals.meanWork = totals.demand / totals.arrived;
+    }
+    return totals;
+}
+
+void ServiceRoom::measureSpeed(const Totals& totals, MonoTime now) {
+    if (m_speed <= 0) {
+        m_speed = totals.slots;
+    }
+    if (totals.inFlight < totals.slots) {
+        m_busySince.reset();
+        m_speed += kSpeedRecovery * (totals.slots - m_speed);
+        return;
+    }
+    m_busySince = m_busySince.value_or(now);
+    if (now - *m_busySince >= kCountsSpan) {
+        m_speed += kSpeedSmoothing * (totals.carried - m_speed);
+    }
+}
+
+// The wait after which an answer is still within the objectives.
+double ServiceRoom::allowedWaitMs(const RoomCounts& counts, const Totals& totals) const {
+    const double slowness = totals.slots / std::max(m_speed, kMinAdmitted * totals.slots);
+    std::optional<double> allowed;
+    for (const PriorityCounts& entry : counts.priorities) {
+        const auto usual = m_usual.find(entry.priority);
+        if (entry.objective <= 0 || usual == m_usual.end() ||
+            entry.finished < kNotablePart * totals.finished) {
+            continue;
+        }
+        const double left =
+            static_cast<double>(entry.objective) - slowness * usual->second.firstByteMs;
+        const double wait = std::max(0.0, kWaitFraction * left);
+        allowed = std::min(allowed.value_or(wait), wait);
+    }
+    return allowed.value_or(0);
+}
+
+double ServiceRoom::inFlightLimit(const RoomCounts& counts, const Totals& totals) const {
+    const double perSecond = totals.meanWork > 0 ? m_speed / totals.meanWork : 0;
+    const double waiting = perSecond * allowedWaitMs(counts, totals) / 1000;
+    return m_depth * (totals.slots + waiting);
+}
+
+bool ServiceRoom::isShort(const Totals& totals, double limit) const {
+    if (totals.inFlight > limit) {
+        return true;
+    }
+    if (totals.declined > std::max(kMinDeclined, kDeclinedPart * totals.arrived)) {
+        return true;
+    }
+    return totals.inFlight >= totals.slots && (totals.late > kLatePart * totals.finished ||
+                                               totals.demand > kShortDemand * totals.slots);
+}
+
+void ServiceRoom::updateLimited(const Totals& totals, double limit, MonoTime now) {
+    if (isShort(totals, limit)) {
+        m_amplySince.reset();
+        if (!m_limited) {
+            m_limited = true;
+            m_limitedSince = now;
+        }
+        return;
+    }
+    const bool isAmple = totals.demand < kAmpleDemand * m_speed && totals.inFlight < totals.slots;
+    if (!m_limited || !isAmple) {
+        m_amplySince.reset();
+        return;
+    }
+    m_amplySince = m_amplySince.value_or(now);
+    if (now - *m_amplySince >= kAmpleTime) {
+        m_limited = false;
+    }
+}
+
+void ServiceRoom::adjustDepth(const Totals& totals, MonoTime now) {
+    const bool isBad = totals.declined > kDeclinedPart * totals.arrived ||
+                       totals.late > kLatePart * totals.finished;
+    if (!isBad || !m_limited) {
+        m_depth = std::min(1.0, m_depth + kDepthRaise);
+        return;
+    }
+    const MonoTime last = std::max(m_limitedSince, m_lastCut.value_or(m_limitedSince));
+    if (now - last >= kCutInterval) {
+        m_depth = std::max(kMinDepth, kDepthCut * m_depth);
+        m_lastCut = now;
+    }
+}
+
+RoomShares ServiceRoom::sharesOf(const RoomCounts& counts, const Totals& totals,
+                                 double limit) const {
+    const double missing = (limit - totals.inFlight) * totals.meanWork / kCorrectionTime;
+    const double room = std::max(kMinAdmitted * totals.slots, m_speed + missing);
+    std::vector<ClassDemand> demands;
+    for (const ClassCounts& entry : counts.classes) {
+        demands.push_back({entry.of, entry.arrived * workOf(entry.of.priority), 1});
+    }
+    RoomShares shares;
+    shares.limited = true;
+    const std::vector<double> fractions = FairShares(demands, room);
+    double refused = 0;
+    for (size_t i = 0; i < demands.size(); ++i) {
+        if (fractions[i] < 1) {
+            shares.classes.push_back({demands[i].of, fractions[i]});
+            refused += counts.classes[i].arrived * (1 - fractions[i]);
+        }
+    }
+    // As long as it takes to serve as many requests as are refused in a second.
+    const double seconds = totals.finished > 0 ? refused / totals.finished : 1;
+    shares.retryAfter =
+        static_cast<Millis>(std::clamp(1000 * seconds, kMinRetryAfter, kMaxRetryAfter));
+    return shares;
+}
+
+}  // namespace onyx
