--- a/include/peers/RoomMessages.h
+++ b/include/peers/RoomMessages.h
@@ -14,8 +14,6 @@
 
 // Bytes; longer names of services are not sent and not taken.
 inline constexpr size_t kMaxRoomServiceName = 128;
-// Priorities in a report.
-inline constexpr size_t kMaxRoomPriorities = 10;
 // Bytes of a frame with its header; a datagram of this size is not fragmented.
 inline constexpr size_t kMaxRoomFrame = 1400;
 
@@ -33,9 +31,10 @@
     return !service.empty() && service.size() <= kMaxRoomServiceName;
 }
 
-// Encode a frame. The first RoomCounts::kMaxClasses classes and the first kMaxRoomPriorities
-// priorities are sent. `isSummed`: of several boxes. `isRoot`: the sender worked the shares out.
-// Preconditions: IsRoomServiceName(service). Thread safety: any thread.
+// Encode a frame. The first RoomCounts::kMaxClasses classes and the first
+// RoomCounts::kMaxPriorities priorities are sent. `isSummed`: of several boxes. `isRoot`: the
+// sender worked the shares out. Preconditions: IsRoomServiceName(service). Thread safety: any
+// thread.
 std::string EncodeRoomReport(const std::string& service, const RoomCounts& counts, bool isSummed);
 std::string EncodeRoomShares(const std::string& service, const SharesMessage& message, bool isRoot);
 
--- a/src/peers/RoomMessages.cpp
+++ b/src/peers/RoomMessages.cpp
@@ -78,7 +78,7 @@
                                     static_cast<float>(entry.arrived),
                                     static_cast<float>(entry.admitted));
     }
-    for (const PriorityCounts& entry : First(counts.priorities, kMaxRoomPriorities)) {
+    for (const PriorityCounts& entry : First(counts.priorities, RoomCounts::kMaxPriorities)) {
         report.priorities.push_back(EncodePriority(entry));
     }
     return EncodeMessage(std::move(report));
@@ -100,7 +100,7 @@
         }
         counts.classes.push_back(*decoded);
     }
-    for (const wire::RoomPriority& entry : First(report.priorities, kMaxRoomPriorities)) {
+    for (const wire::RoomPriority& entry : First(report.priorities, RoomCounts::kMaxPriorities)) {
         const auto decoded = DecodePriority(entry);
         if (!decoded) {
             return std::nullopt;
--- a/tests/RoomReplay.h
+++ b/tests/RoomReplay.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace onyx {
@@ -73,6 +74,9 @@
         }
     }
 
+    // Callers of a box that is stopped go to the others.
+    void stop(size_t box) { m_stopped.insert(box); }
+
     ReplayUpstreams& upstreams() { return m_upstreams; }
     std::vector<RoomGate>& gates() { return m_gates; }
     const std::deque<ReplayRequest>& requests() const { return m_requests; }
@@ -115,7 +119,9 @@
 
     void admit(ReplayRequest request) {
         request.arrived = m_now;
-        request.box = below(m_gates.size());
+        do {
+            request.box = below(m_gates.size());
+        } while (m_stopped.contains(request.box));
         RoomGate& gate = m_gates[request.box];
         const RoomDecision decision = gate.decide(request.of, request.fingerprint, m_now);
         if (const auto* refusal = std::get_if<NoRoom>(&decision)) {
@@ -190,6 +196,7 @@
     std::vector<ReplayLoad> m_loads;
     std::mt19937_64 m_random;
     std::vector<RoomGate> m_gates;
+    std::set<size_t> m_stopped;  // Boxes.
     std::vector<Server> m_servers;
     std::deque<ReplayRequest> m_requests;
     std::map<Millis, std::vector<Event>> m_events;
