--- a/tests/RoomFleetReplayTest.cpp
+++ b/tests/RoomFleetReplayTest.cpp
@@ -23,7 +23,10 @@
 constexpr Millis kBurstEnd = kBurst + 9000;
 constexpr Millis kSettled = kBurst + 1000;
 constexpr Millis kRecovered = kBurstEnd + 1000;
-constexpr Millis kEnd = kBurstEnd + 6000;
+// Signs of a shortage count for two seconds at a box.
+constexpr Millis kCalm = kRecovered + 2000 + RoomExchange::kAfterShortage +
+                         RoomExchange::kReportTime + kMaxRoomAge;
+constexpr Millis kEnd = kCalm + 2000;
 constexpr Millis kFailure = kBurst + 3000;
 constexpr Millis kTransit = 2;
 constexpr double kDatagramHeader = 28;  // Bytes of IP and UDP.
@@ -226,7 +229,7 @@
     void send(const Datagram& datagram) {
         const double bytes = kDatagramHeader + static_cast<double>(datagram.frame->size());
         m_boxes[datagram.from].sent += isBurst() ? bytes : 0;
-        const bool isCalm = m_now.ms < kBurst || m_now.ms >= kBurstEnd + 4000;
+        const bool isCalm = m_now.ms < kBurst || m_now.ms >= kCalm;
         m_sentWhileCalm += isCalm ? 1 : 0;
         const bool isCut =
             m_failed && m_fault.cuts && m_fault.cuts(*this, datagram.from, datagram.to);
