--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -74,8 +74,8 @@
 
 private:
     struct ClassState {
-        RecentRate arrived{kCountStepMs};
-        RecentRate admitted{kCountStepMs};
+        RecentRate arrived{kArrivalStepMs};
+        RecentRate admitted{kArrivalStepMs};
         RecentRate arrivedLong{kOwnStepMs};
         double credit = 0;  // Requests that may be sent; each one that arrives adds its fraction.
         MonoTime lastArrival;
@@ -97,8 +97,9 @@
         MonoTime at;
     };
 
-    static constexpr Millis kCountStepMs = 50;  // Counts cover 600 ms,
-    static constexpr Millis kOwnStepMs = 250;   // the rates for the own decision 3 s.
+    static constexpr Millis kCountStepMs = 50;    // Counts of ends cover 600 ms,
+    static constexpr Millis kArrivalStepMs = 25;  // those of arrivals 300 ms,
+    static constexpr Millis kOwnStepMs = 250;     // the rates for the own decision 3 s.
     static constexpr size_t kAnswers = 8;  // The latest ones that show whether there is a queue.
 
     ClassState& classOf(const DemandClass& of, MonoTime now);
--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -13,10 +13,12 @@
 // requests are admitted; with free slots nothing is refused.
 #pragma once
 
+#include "include/admission/FairShares.h"
 #include "include/admission/RoomCounts.h"
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace onyx {
 
@@ -24,6 +26,7 @@
 struct RoomSupply {
     double slots = 0;  // Of all its upstreams that take requests.
     size_t boxes = 1;  // Boxes of the site; those that do not report use their part of the room.
+    Millis age = 200;  // Mean time from the counts to the use of the shares, in milliseconds.
 };
 
 // Not thread safe: one task owns it.
@@ -52,6 +55,12 @@
         double meanWork = 0;  // Seconds at an upstream.
     };
 
+    // Work admitted per second from a time on.
+    struct Admitted {
+        MonoTime from;
+        double work = 0;
+    };
+
     void learnUsual(const RoomCounts& counts, double slots);
     void learnUsual(const PriorityCounts& counts, double inFlight, double slots);
     double workOf(int priority) const;
@@ -62,12 +71,18 @@
     bool isShort(const Totals& totals, double limit) const;
     void updateLimited(const Totals& totals, double limit, MonoTime now);
     void adjustDepth(const Totals& totals, MonoTime now);
-    RoomShares sharesOf(const RoomCounts& counts, const Totals& totals, double limit) const;
+    std::vector<ClassDemand> demandsOf(const RoomCounts& counts, const Totals& totals);
+    double expectedInFlight(const Totals& totals, Millis age, MonoTime now);
+    double admittedWork(const Totals& totals, double limit, Millis age, MonoTime now);
+    void noteAdmitted(double work, MonoTime now);
+    RoomShares sharesOf(const RoomCounts& counts, const Totals& totals, double room);
 
-    std::map<int, Usual> m_usual;  // By priority.
-    double m_speed = 0;            // Work that the upstreams finish per second.
-    double m_depth = 1;            // Part of the limit on requests in flight, as corrected.
+    std::map<int, Usual> m_usual;            // By priority.
+    std::map<DemandClass, double> m_demand;  // Mean of the last counts.
+    double m_speed = 0;                      // Work that the upstreams finish per second.
+    double m_depth = 1;  // Part of the limit on requests in flight, as corrected.
     bool m_limited = false;
+    std::vector<Admitted> m_admitted;  // The latest one last.
     MonoTime m_limitedSince;
     std::optional<MonoTime> m_busySince;   // All slots are busy.
     std::optional<MonoTime> m_amplySince;  // There is room for all.
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -3,6 +3,7 @@
 #include "include/admission/FairShares.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace onyx {
 
@@ -33,8 +34,13 @@
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
 constexpr double kSpeedRecovery = 0.2;
-// In seconds, within which the requests in flight are brought to the limit.
-constexpr double kCorrectionTime = 0.4;
+// In seconds, within which the requests in flight are brought to the limit. Too long a queue makes
+// all requests late, so it is shortened faster than a short one is filled.
+constexpr double kFillTime = 0.4;
+constexpr double kDrainTime = 0.2;
+constexpr Millis kMaxCountsAge = 1000;  // In milliseconds; older counts are not expected.
+// Part of the difference by which the mean demand of a class follows the counts.
+constexpr double kDemandSmoothing = 0.3;
 constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
 
 // The depth of the queue: it is cut at most once in the time that it takes to see what a cut does.
@@ -72,9 +78,12 @@
     const double limit = inFlightLimit(counts, totals);
     updateLimited(totals, limit, now);
     if (!m_limited) {
+        noteAdmitted(std::numeric_limits<double>::infinity(), now);
         return {};
     }
-    return sharesOf(counts, totals, limit);
+    const double room = admittedWork(totals, limit, supply.age, now);
+    noteAdmitted(room, now);
+    return sharesOf(counts, totals, room);
 }
 
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
@@ -223,14 +232,57 @@
     }
 }
 
-RoomShares ServiceRoom::sharesOf(const RoomCounts& counts, const Totals& totals,
-                                 double limit) const {
-    const double missing = (limit - totals.inFlight) * totals.meanWork / kCorrectionTime;
-    const double room = std::max(kMinAdmitted * totals.slots, m_speed + missing);
+// The work in flight when the shares are used. The counts do not show yet what the last shares
+// admitted: without this the requests in flight would swing about the limit.
+double ServiceRoom::expectedInFlight(const Totals& totals, Millis age, MonoTime now) {
+    double work = totals.inFlight * totals.meanWork;
+    MonoTime until = now;
+    for (auto step = m_admitted.rbegin(); step != m_admitted.rend() && until > now - age; ++step) {
+        const MonoTime from = std::max(step->from, now - age);
+        const double admitted =
+            std::max(0.0, std::min(step->work, totals.demand) - totals.declined * totals.meanWork);
+        work += (admitted - m_speed) * static_cast<double>(until - from) / 1000;
+        until = from;
+    }
+    return std::max(0.0, work);
+}
+
+// Returns the work to admit per second, so that the requests in flight come to the limit.
+double ServiceRoom::admittedWork(const Totals& totals, double limit, Millis age, MonoTime now) {
+    const double missing = limit * totals.meanWork - expectedInFlight(totals, age, now);
+    const double room = m_speed + missing / (missing > 0 ? kFillTime : kDrainTime);
+    return std::max(kMinAdmitted * totals.slots, room);
+}
+
+void ServiceRoom::noteAdmitted(double work, MonoTime now) {
+    m_admitted.push_back({now, work});
+    std::erase_if(m_admitted,
+                  [&](const Admitted& step) { return now - step.from > kMaxCountsAge; });
+}
+
+// The mean demand of each class, in proportion so that all together have the present demand: the
+// counts of one class vary by chance, and those of all together far less.
+std::vector<ClassDemand> ServiceRoom::demandsOf(const RoomCounts& counts, const Totals& totals) {
+    std::map<DemandClass, double> mean;
+    double sum = 0;
+    for (const ClassCounts& entry : counts.classes) {
+        const double demand = entry.arrived * workOf(entry.of.priority);
+        const auto known = m_demand.find(entry.of);
+        const double before = known == m_demand.end() ? demand : known->second;
+        mean[entry.of] = before + kDemandSmoothing * (demand - before);
+        sum += mean[entry.of];
+    }
+    m_demand = std::move(mean);
     std::vector<ClassDemand> demands;
     for (const ClassCounts& entry : counts.classes) {
-        demands.push_back({entry.of, entry.arrived * workOf(entry.of.priority), 1});
+        const double part = sum > 0 ? m_demand[entry.of] / sum : 0;
+        demands.push_back({entry.of, part * totals.demand, 1});
     }
+    return demands;
+}
+
+RoomShares ServiceRoom::sharesOf(const RoomCounts& counts, const Totals& totals, double room) {
+    const std::vector<ClassDemand> demands = demandsOf(counts, totals);
     RoomShares shares;
     shares.limited = true;
     const std::vector<double> fractions = FairShares(demands, room);
