--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -7,6 +7,7 @@
 // each period without (additive increase, multiplicative decrease).
 #pragma once
 
+#include "include/admission/FairShares.h"
 #include "include/admission/RecentRate.h"
 #include "include/admission/RefusedRequests.h"
 #include "include/admission/RoomCounts.h"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <random>
 #include <variant>
+#include <vector>
 
 namespace onyx {
 
@@ -91,6 +93,7 @@
     struct OwnRoom {
         double rate = 0;  // Requests per second.
         MonoTime lastCut;
+        MonoTime lastRaise;
     };
     struct SlowAnswer {
         bool slow = false;
@@ -113,6 +116,7 @@
     void adjustOwn(const RoomEnd& end, MonoTime now);
     void cutOwn(MonoTime now);
     RoomShares ownShares(MonoTime now);
+    std::vector<ClassDemand> ownDemands(MonoTime now);
     double arrivalRate(MonoTime now);
 
     bool isPressed(MonoTime now) const;
--- a/src/admission/RoomGate.cpp
+++ b/src/admission/RoomGate.cpp
@@ -20,8 +20,12 @@
 // The own decision: cuts are as far apart as it takes to see what a cut does, and an answer in time
 // raises the room by a part of the arrivals.
 constexpr Millis kCutInterval = 300;
+constexpr Millis kRaiseInterval = 100;
 constexpr double kCut = 0.8;
 constexpr double kRaise = 0.01;
+constexpr double kFreeRaise = 0.04;    // After an answer that shows that there is no queue:
+constexpr double kFreeFraction = 0.4;  // part of the objective up to which it does.
+constexpr double kMinListed = 1;  // Arrivals per second of a class that has a share of its own.
 constexpr double kMinOwnFraction = 0.02;  // Of the arrivals; finds out when there is room again.
 constexpr double kAmpleRoom = 1.5;        // Times the arrivals: nothing is limited any more.
 constexpr Millis kOwnPeriod = 200;        // In milliseconds, between two divisions of the room.
@@ -177,7 +181,7 @@
     if (m_sharesAsOf) {
         m_sharesAsOf.reset();
         if (m_shares.limited) {
-            m_own = OwnRoom{m_admittedLong.perSecond(now), now};
+            m_own = OwnRoom{m_admittedLong.perSecond(now), now, now};
         }
         m_ownSharesAt.reset();
     }
@@ -197,10 +201,7 @@
         m_own.reset();
         return {};
     }
-    std::vector<ClassDemand> demands;
-    for (auto& [of, state] : m_classes) {
-        demands.push_back({of, state.arrivedLong.perSecond(now), 1});
-    }
+    const std::vector<ClassDemand> demands = ownDemands(now);
     RoomShares shares;
     shares.limited = true;
     const std::vector<double> fractions = FairShares(demands, m_own->rate);
@@ -215,6 +216,27 @@
     return shares;
 }
 
+// Classes with few requests count together: a share of what one box saw of them would be chance.
+std::vector<ClassDemand> RoomGate::ownDemands(MonoTime now) {
+    std::vector<ClassDemand> demands;
+    std::map<int, ClassDemand> others;
+    for (auto& [of, state] : m_classes) {
+        const double demand = state.arrivedLong.perSecond(now);
+        if (of.team != 0 && demand >= kMinListed) {
+            demands.push_back({of, demand, 1});
+            continue;
+        }
+        ClassDemand& sum = others.try_emplace(of.priority, ClassDemand{{of.priority, 0}, 0, 0})
+                               .first->second;
+        sum.demand += demand;
+        sum.weight += 1;
+    }
+    for (const auto& [priority, sum] : others) {
+        demands.push_back(sum);
+    }
+    return demands;
+}
+
 void RoomGate::adjustOwn(const RoomEnd& end, MonoTime now) {
     if (hasRecentShares(now)) {
         return;
@@ -223,18 +245,21 @@
     const bool late = end.firstByte && *end.firstByte > end.objective;
     if (end.declined || (late && (m_own || isPressed(now)))) {
         cutOwn(now);
-    } else if (m_own && end.firstByte) {
-        m_own->rate += kRaise * arrivalRate(now);
+    } else if (m_own && end.firstByte && now - m_own->lastRaise >= kRaiseInterval) {
+        const bool isFree = static_cast<double>(*end.firstByte) <
+                            kFreeFraction * static_cast<double>(end.objective);
+        m_own->rate += (isFree ? kFreeRaise : kRaise) * arrivalRate(now);
+        m_own->lastRaise = now;
     }
 }
 
 void RoomGate::cutOwn(MonoTime now) {
     const double least = kMinOwnFraction * arrivalRate(now);
     if (!m_own) {
-        m_own = OwnRoom{std::max(least, kCut * m_admittedLong.perSecond(now)), now};
+        m_own = OwnRoom{std::max(least, kCut * m_admittedLong.perSecond(now)), now, now};
         m_ownSharesAt.reset();
     } else if (now - m_own->lastCut >= kCutInterval) {
-        m_own = OwnRoom{std::max(least, kCut * m_own->rate), now};
+        m_own = OwnRoom{std::max(least, kCut * m_own->rate), now, now};
     }
 }
 
