--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -68,7 +68,7 @@
     void measureSpeed(const Totals& totals, MonoTime now);
     double allowedWaitMs(const RoomCounts& counts, const Totals& totals) const;
     double inFlightLimit(const RoomCounts& counts, const Totals& totals) const;
-    bool isShort(const Totals& totals, double limit) const;
+    bool isShort(const Totals& totals, double limit, MonoTime now);
     void updateLimited(const Totals& totals, double limit, MonoTime now);
     void adjustDepth(const Totals& totals, MonoTime now);
     std::vector<ClassDemand> demandsOf(const RoomCounts& counts, const Totals& totals);
@@ -85,6 +85,7 @@
     std::vector<Admitted> m_admitted;  // The latest one last.
     MonoTime m_limitedSince;
     std::optional<MonoTime> m_busySince;   // All slots are busy.
+    std::optional<MonoTime> m_crowdedSince;  // More in flight than the limit.
     std::optional<MonoTime> m_amplySince;  // There is room for all.
     std::optional<MonoTime> m_lastCut;
 };
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -3,6 +3,7 @@
 #include "include/admission/FairShares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace onyx {
@@ -20,16 +21,20 @@
 // Part of the requests that a priority has to have for its objective to count.
 constexpr double kNotablePart = 0.05;
 
-// A shortage: the part of the arrivals that upstreams turn away, and the least number of them per
-// second; the part of the answers that are late; the demand in parts of the room.
+// A shortage: the part of the arrivals that upstreams turn away, and of the answers that are late,
+// and the least number of them per second.
 constexpr double kDeclinedPart = 0.01;
-constexpr double kMinDeclined = 3;
 constexpr double kLatePart = 0.05;
-constexpr double kShortDemand = 1.1;
-constexpr double kAmpleDemand = 0.95;
+constexpr double kMinSigns = 3;
+// Standard deviations by which requests in flight or the demand of a calm service may exceed the
+// room by chance, and the time in milliseconds for which they do not.
+constexpr double kChance = 2;
+constexpr Millis kChanceTime = 400;
+constexpr double kAmpleDemand = 0.95;  // Of the room.
 constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
 
-// In milliseconds. The time that the counts cover; they tell the speed only if all slots were busy
+constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
+// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were busy
 // throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
@@ -43,11 +48,12 @@
 constexpr double kDemandSmoothing = 0.3;
 constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
 
-// The depth of the queue: it is cut at most once in the time that it takes to see what a cut does.
+// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots free.
+// It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
 constexpr Millis kCutInterval = 600;
-constexpr double kDepthCut = 0.85;
+constexpr double kDepthCut = 0.15;
 constexpr double kDepthRaise = 0.02;
-constexpr double kMinDepth = 0.1;
+constexpr double kMinDepth = -0.7;
 
 // In milliseconds. Bounds of the time after which a refused caller may return.
 constexpr double kMinRetryAfter = 300;
@@ -184,22 +190,31 @@
 double ServiceRoom::inFlightLimit(const RoomCounts& counts, const Totals& totals) const {
     const double perSecond = totals.meanWork > 0 ? m_speed / totals.meanWork : 0;
     const double waiting = perSecond * allowedWaitMs(counts, totals) / 1000;
-    return m_depth * (totals.slots + waiting);
+    return totals.slots + m_depth * (m_depth > 0 ? waiting : totals.slots);
 }
 
-bool ServiceRoom::isShort(const Totals& totals, double limit) const {
-    if (totals.inFlight > limit) {
+bool ServiceRoom::isShort(const Totals& totals, double limit, MonoTime now) {
+    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
         return true;
     }
-    if (totals.declined > std::max(kMinDeclined, kDeclinedPart * totals.arrived)) {
+    if (totals.inFlight >= totals.slots &&
+        totals.late > std::max(kMinSigns, kLatePart * totals.finished)) {
         return true;
     }
-    return totals.inFlight >= totals.slots && (totals.late > kLatePart * totals.finished ||
-                                               totals.demand > kShortDemand * totals.slots);
+    if (totals.inFlight > limit + kChance * std::sqrt(limit)) {
+        m_crowdedSince = m_crowdedSince.value_or(now);
+    } else {
+        m_crowdedSince.reset();
+    }
+    if (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) {
+        return true;
+    }
+    const double chance = kChance * totals.meanWork * std::sqrt(totals.arrived / kArrivalsSpan);
+    return totals.inFlight > limit && totals.demand > m_speed + chance;
 }
 
 void ServiceRoom::updateLimited(const Totals& totals, double limit, MonoTime now) {
-    if (isShort(totals, limit)) {
+    if (isShort(totals, limit, now)) {
         m_amplySince.reset();
         if (!m_limited) {
             m_limited = true;
@@ -219,15 +234,17 @@
 }
 
 void ServiceRoom::adjustDepth(const Totals& totals, MonoTime now) {
-    const bool isBad = totals.declined > kDeclinedPart * totals.arrived ||
-                       totals.late > kLatePart * totals.finished;
-    if (!isBad || !m_limited) {
+    const bool isDeclined = totals.declined > kDeclinedPart * totals.arrived;
+    const bool isLate = totals.late > kLatePart * totals.finished;
+    if (!m_limited || (!isDeclined && !isLate)) {
         m_depth = std::min(1.0, m_depth + kDepthRaise);
         return;
     }
     const MonoTime last = std::max(m_limitedSince, m_lastCut.value_or(m_limitedSince));
     if (now - last >= kCutInterval) {
-        m_depth = std::max(kMinDepth, kDepthCut * m_depth);
+        // Answers that are late without a queue would not be earlier with free slots.
+        const double least = isDeclined ? kMinDepth : std::min(m_depth, 0.0);
+        m_depth = std::max(least, m_depth - kDepthCut);
         m_lastCut = now;
     }
 }
