--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -7,6 +7,7 @@
 // each period without (additive increase, multiplicative decrease).
 #pragma once
 
+#include "include/admission/FairShares.h"
 #include "include/admission/RecentRate.h"
 #include "include/admission/RefusedRequests.h"
 #include "include/admission/RoomCounts.h"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <random>
 #include <variant>
+#include <vector>
 
 namespace onyx {
 
@@ -74,8 +76,8 @@
 
 private:
     struct ClassState {
-        RecentRate arrived{kCountStepMs};
-        RecentRate admitted{kCountStepMs};
+        RecentRate arrived{kArrivalStepMs};
+        RecentRate admitted{kArrivalStepMs};
         RecentRate arrivedLong{kOwnStepMs};
         double credit = 0;  // Requests that may be sent; each one that arrives adds its fraction.
         MonoTime lastArrival;
@@ -91,14 +93,16 @@
     struct OwnRoom {
         double rate = 0;  // Requests per second.
         MonoTime lastCut;
+        MonoTime lastRaise;
     };
     struct SlowAnswer {
         bool slow = false;
         MonoTime at;
     };
 
-    static constexpr Millis kCountStepMs = 50;  // Counts cover 600 ms,
-    static constexpr Millis kOwnStepMs = 250;   // the rates for the own decision 3 s.
+    static constexpr Millis kCountStepMs = 50;    // Counts of ends cover 600 ms,
+    static constexpr Millis kArrivalStepMs = 25;  // those of arrivals 300 ms,
+    static constexpr Millis kOwnStepMs = 250;     // the rates for the own decision 3 s.
     static constexpr size_t kAnswers = 8;  // The latest ones that show whether there is a queue.
 
     ClassState& classOf(const DemandClass& of, MonoTime now);
@@ -112,6 +116,7 @@
     void adjustOwn(const RoomEnd& end, MonoTime now);
     void cutOwn(MonoTime now);
     RoomShares ownShares(MonoTime now);
+    std::vector<ClassDemand> ownDemands(MonoTime now);
     double arrivalRate(MonoTime now);
 
     bool isPressed(MonoTime now) const;
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -3,6 +3,8 @@
 #include "include/admission/FairShares.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace onyx {
 
@@ -19,29 +21,39 @@
 // Part of the requests that a priority has to have for its objective to count.
 constexpr double kNotablePart = 0.05;
 
-// A shortage: the part of the arrivals that upstreams turn away, and the least number of them per
-// second; the part of the answers that are late; the demand in parts of the room.
+// A shortage: the part of the arrivals that upstreams turn away, and of the answers that are late,
+// and the least number of them per second.
 constexpr double kDeclinedPart = 0.01;
-constexpr double kMinDeclined = 3;
 constexpr double kLatePart = 0.05;
-constexpr double kShortDemand = 1.1;
-constexpr double kAmpleDemand = 0.95;
+constexpr double kMinSigns = 3;
+// Standard deviations by which requests in flight or the demand of a calm service may exceed the
+// room by chance, and the time in milliseconds for which they do not.
+constexpr double kChance = 2;
+constexpr Millis kChanceTime = 400;
+constexpr double kAmpleDemand = 0.95;  // Of the room.
 constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
 
-// In milliseconds. The time that the counts cover; they tell the speed only if all slots were busy
+constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
+// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were busy
 // throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
 constexpr double kSpeedRecovery = 0.2;
-// In seconds, within which the requests in flight are brought to the limit.
-constexpr double kCorrectionTime = 0.4;
+// In seconds, within which the requests in flight are brought to the limit. Too long a queue makes
+// all requests late, so it is shortened faster than a short one is filled.
+constexpr double kFillTime = 0.4;
+constexpr double kDrainTime = 0.2;
+constexpr Millis kMaxCountsAge = 1000;  // In milliseconds; older counts are not expected.
+// Part of the difference by which the mean demand of a class follows the counts.
+constexpr double kDemandSmoothing = 0.3;
 constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
 
-// The depth of the queue: it is cut at most once in the time that it takes to see what a cut does.
+// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots free.
+// It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
 constexpr Millis kCutInterval = 600;
-constexpr double kDepthCut = 0.85;
+constexpr double kDepthCut = 0.15;
 constexpr double kDepthRaise = 0.02;
-constexpr double kMinDepth = 0.1;
+constexpr double kMinDepth = -0.7;
 
 // In milliseconds. Bounds of the time after which a refused caller may return.
 constexpr double kMinRetryAfter = 300;
@@ -72,9 +84,12 @@
     const double limit = inFlightLimit(counts, totals);
     updateLimited(totals, limit, now);
     if (!m_limited) {
+        noteAdmitted(std::numeric_limits<double>::infinity(), now);
         return {};
     }
-    return sharesOf(counts, totals, limit);
+    const double room = admittedWork(totals, limit, supply.age, now);
+    noteAdmitted(room, now);
+    return sharesOf(counts, totals, room);
 }
 
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
@@ -175,22 +190,31 @@
 double ServiceRoom::inFlightLimit(const RoomCounts& counts, const Totals& totals) const {
     const double perSecond = totals.meanWork > 0 ? m_speed / totals.meanWork : 0;
     const double waiting = perSecond * allowedWaitMs(counts, totals) / 1000;
-    return m_depth * (totals.slots + waiting);
+    return totals.slots + m_depth * (m_depth > 0 ? waiting : totals.slots);
 }
 
-bool ServiceRoom::isShort(const Totals& totals, double limit) const {
-    if (totals.inFlight > limit) {
+bool ServiceRoom::isShort(const Totals& totals, double limit, MonoTime now) {
+    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
         return true;
     }
-    if (totals.declined > std::max(kMinDeclined, kDeclinedPart * totals.arrived)) {
+    if (totals.inFlight >= totals.slots &&
+        totals.late > std::max(kMinSigns, kLatePart * totals.finished)) {
         return true;
     }
-    return totals.inFlight >= totals.slots && (totals.late > kLatePart * totals.finished ||
-                                               totals.demand > kShortDemand * totals.slots);
+    if (totals.inFlight > limit + kChance * std::sqrt(limit)) {
+        m_crowdedSince = m_crowdedSince.value_or(now);
+    } else {
+        m_crowdedSince.reset();
+    }
+    if (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) {
+        return true;
+    }
+    const double chance = kChance * totals.meanWork * std::sqrt(totals.arrived / kArrivalsSpan);
+    return totals.inFlight > limit && totals.demand > m_speed + chance;
 }
 
 void ServiceRoom::updateLimited(const Totals& totals, double limit, MonoTime now) {
-    if (isShort(totals, limit)) {
+    if (isShort(totals, limit, now)) {
         m_amplySince.reset();
         if (!m_limited) {
             m_limited = true;
@@ -210,27 +234,72 @@
 }
 
 void ServiceRoom::adjustDepth(const Totals& totals, MonoTime now) {
-    const bool isBad = totals.declined > kDeclinedPart * totals.arrived ||
-                       totals.late > kLatePart * totals.finished;
-    if (!isBad || !m_limited) {
+    const bool isDeclined = totals.declined > kDeclinedPart * totals.arrived;
+    const bool isLate = totals.late > kLatePart * totals.finished;
+    if (!m_limited || (!isDeclined && !isLate)) {
         m_depth = std::min(1.0, m_depth + kDepthRaise);
         return;
     }
     const MonoTime last = std::max(m_limitedSince, m_lastCut.value_or(m_limitedSince));
     if (now - last >= kCutInterval) {
-        m_depth = std::max(kMinDepth, kDepthCut * m_depth);
+        // Answers that are late without a queue would not be earlier with free slots.
+        const double least = isDeclined ? kMinDepth : std::min(m_depth, 0.0);
+        m_depth = std::max(least, m_depth - kDepthCut);
         m_lastCut = now;
     }
 }
 
-RoomShares ServiceRoom::sharesOf(const RoomCounts& counts, const Totals& totals,
-                                 double limit) const {
-    const double missing = (limit - totals.inFlight) * totals.meanWork / kCorrectionTime;
-    const double room = std::max(kMinAdmitted * totals.slots, m_speed + missing);
+// The work in flight when the shares are used. The counts do not show yet what the last shares
+// admitted: without this the requests in flight would swing about the limit.
+double ServiceRoom::expectedInFlight(const Totals& totals, Millis age, MonoTime now) {
+    double work = totals.inFlight * totals.meanWork;
+    MonoTime until = now;
+    for (auto step = m_admitted.rbegin(); step != m_admitted.rend() && until > now - age; ++step) {
+        const MonoTime from = std::max(step->from, now - age);
+        const double admitted =
+            std::max(0.0, std::min(step->work, totals.demand) - totals.declined * totals.meanWork);
+        work += (admitted - m_speed) * static_cast<double>(until - from) / 1000;
+        until = from;
+    }
+    return std::max(0.0, work);
+}
+
+// Returns the work to admit per second, so that the requests in flight come to the limit.
+double ServiceRoom::admittedWork(const Totals& totals, double limit, Millis age, MonoTime now) {
+    const double missing = limit * totals.meanWork - expectedInFlight(totals, age, now);
+    const double room = m_speed + missing / (missing > 0 ? kFillTime : kDrainTime);
+    return std::max(kMinAdmitted * totals.slots, room);
+}
+
+void ServiceRoom::noteAdmitted(double work, MonoTime now) {
+    m_admitted.push_back({now, work});
+    std::erase_if(m_admitted,
+                  [&](const Admitted& step) { return now - step.from > kMaxCountsAge; });
+}
+
+// The mean demand of each class, in proportion so that all together have the present demand: the
+// counts of one class vary by chance, and those of all together far less.
+std::vector<ClassDemand> ServiceRoom::demandsOf(const RoomCounts& counts, const Totals& totals) {
+    std::map<DemandClass, double> mean;
+    double sum = 0;
+    for (const ClassCounts& entry : counts.classes) {
+        const double demand = entry.arrived * workOf(entry.of.priority);
+        const auto known = m_demand.find(entry.of);
+        const double before = known == m_demand.end() ? demand : known->second;
+        mean[entry.of] = before + kDemandSmoothing * (demand - before);
+        sum += mean[entry.of];
+    }
+    m_demand = std::move(mean);
     std::vector<ClassDemand> demands;
     for (const ClassCounts& entry : counts.classes) {
-        demands.push_back({entry.of, entry.arrived * workOf(entry.of.priority), 1});
+        const double part = sum > 0 ? m_demand[entry.of] / sum : 0;
+        demands.push_back({entry.of, part * totals.demand, 1});
     }
+    return demands;
+}
+
+RoomShares ServiceRoom::sharesOf(const RoomCounts& counts, const Totals& totals, double room) {
+    const std::vector<ClassDemand> demands = demandsOf(counts, totals);
     RoomShares shares;
     shares.limited = true;
     const std::vector<double> fractions = FairShares(demands, room);
