--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -42,6 +42,11 @@
     static constexpr Millis kPeriod = 200;
     // Time in milliseconds for which a root goes on after the last report of a shortage.
     static constexpr Millis kAfterShortage = 2000;
+    // Time in milliseconds for which a root only asks for reports when a shortage begins. The boxes
+    // that report first are those that see it, and tell too little of the others.
+    static constexpr Millis kMaxAskTime = 600;
+    // Part of the boxes whose counts are enough to work out shares before that time has passed.
+    static constexpr double kEnoughBoxes = 0.75;
     // Time in milliseconds for which a box reports after a root asked for it.
     static constexpr Millis kReportTime = 1000;
     // Services that are followed; further ones are ignored.
@@ -67,9 +72,10 @@
 
     // Returns the frames that are due. Preconditions: as above; called every kPeriod.
     std::vector<OutgoingFrame> makeDueFrames(MonoTime now);
-    // Take in the messages of other boxes and return what is to be passed on at once.
-    // Preconditions: as above.
-    void handleReport(const std::string& from, const wire::RoomReportT& report, MonoTime now);
+    // Take in the messages of other boxes and return what is to be passed on at once: shares, and
+    // the first signs of a shortage. Preconditions: as above.
+    std::vector<OutgoingFrame> handleReport(const std::string& from,
+                                            const wire::RoomReportT& report, MonoTime now);
     std::vector<OutgoingFrame> handleShares(const std::string& from,
                                             const wire::RoomSharesT& shares, MonoTime now);
 
@@ -103,12 +109,15 @@
     struct Collector {
         RoomReports reports{kMaxReporters};
         RoomRounds rounds;
+        std::optional<MonoTime> sumSentAt;
+        std::optional<MonoTime> askedAt;  // When the group was last asked to report.
     };
     struct Root {
         RoomReports sums{kMaxCollectors};
         std::optional<MonoTime> pressedAt;  // When a sum last told of a shortage.
         MonoTime activeSince;
         uint64_t round = 0;
+        bool decides = false;  // Shares were worked out since the shortage began.
         ServiceRoom room;
     };
     struct Service {
@@ -131,7 +140,9 @@
 
     void report(Service& service, MonoTime now, Frames& frames);
     void collect(Service& service, MonoTime now, Frames& frames);
+    void hurry(Service& service, bool isSummed, MonoTime now, Frames& frames);
     void decide(Service& service, MonoTime now, Frames& frames);
+    SharesMessage makeShares(Service& service, const RoomCounts& sum, MonoTime now) const;
     static bool IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now);
     std::vector<std::string> activeCollectors(const Service& service, MonoTime now) const;
     void passOn(Service& service, SharesMessage message, MonoTime now, Frames& frames);
--- a/include/peers/RoomMessages.h
+++ b/include/peers/RoomMessages.h
@@ -19,7 +19,7 @@
 
 // The shares of a service as a root sends them, or a collector passes them on.
 struct SharesMessage {
-    uint64_t round = 0;   // Of the root; rises with each message.
+    uint64_t round = 0;   // Of the root, rises with each message; 0: no shares, it only asks.
     size_t rank = 0;      // Of the root among those of the zone, 0 the best.
     bool report = false;  // Boxes are to report.
     Millis age = 0;       // Since the root worked them out, in milliseconds.
--- a/src/peers/RoomExchange.cpp
+++ b/src/peers/RoomExchange.cpp
@@ -129,6 +129,7 @@
     if (!sum) {
         return;
     }
+    service.collector.sumSentAt = now;
     std::vector<std::string> to;
     for (const std::string& root : keepersOf(service).roots) {
         if (root == m_self) {
@@ -143,16 +144,12 @@
 }
 
 void RoomExchange::decide(Service& service, MonoTime now, Frames& frames) {
-    Root& root = service.root;
-    const auto sum = root.sums.sum(now);
-    if (!IsActive(root, sum, now) || !sum || service.slots <= 0 || !keepersOf(service).asRoot) {
+    const auto sum = service.root.sums.sum(now);
+    if (!IsActive(service.root, sum, now) || !sum || service.slots <= 0 ||
+        !keepersOf(service).asRoot) {
         return;
     }
-    SharesMessage message;
-    message.round = ++root.round;
-    message.rank = *keepersOf(service).asRoot;
-    message.report = true;
-    message.shares = root.room.update(*sum, {service.slots, m_keepers.boxCount()}, now);
+    SharesMessage message = makeShares(service, *sum, now);
     std::vector<std::string> to = activeCollectors(service, now);
     const bool isCollector = std::erase(to, m_self) > 0;
     if (!to.empty()) {
@@ -163,6 +160,23 @@
     }
 }
 
+// Without shares as long as it only asks for reports.
+SharesMessage RoomExchange::makeShares(Service& service, const RoomCounts& sum,
+                                       MonoTime now) const {
+    Root& root = service.root;
+    const double boxes = static_cast<double>(m_keepers.boxCount());
+    root.decides = root.decides || static_cast<double>(sum.boxes) >= kEnoughBoxes * boxes ||
+                   now - root.activeSince >= kMaxAskTime;
+    SharesMessage message;
+    message.rank = *service.keepers->asRoot;
+    message.report = true;
+    if (root.decides) {
+        message.round = ++root.round;
+        message.shares = root.room.update(sum, {service.slots, m_keepers.boxCount()}, now);
+    }
+    return message;
+}
+
 // Follows whether there is a shortage, or was one lately; forgets it afterwards.
 bool RoomExchange::IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now) {
     if (sum && sum->pressed) {
@@ -171,6 +185,7 @@
     }
     if (root.pressedAt && now - *root.pressedAt > kAfterShortage) {
         root.pressedAt.reset();
+        root.decides = false;
         root.room = ServiceRoom();
     }
     return root.pressedAt.has_value();
@@ -196,16 +211,33 @@
     return active;
 }
 
-void RoomExchange::handleReport(const std::string& from, const wire::RoomReportT& report,
-                                MonoTime now) {
+std::vector<OutgoingFrame> RoomExchange::handleReport(const std::string& from,
+                                                      const wire::RoomReportT& report,
+                                                      MonoTime now) {
+    Frames frames;
     Service* service = find(report.service);
     auto counts = service ? DecodeRoomReport(report) : std::nullopt;
     if (!counts) {
-        return;
+        return frames;
     }
     counts->boxes = std::clamp<size_t>(counts->boxes, 1, std::max<size_t>(m_keepers.boxCount(), 1));
     RoomReports& reports = report.summed ? service->root.sums : service->collector.reports;
     reports.put(from, std::move(*counts), now);
+    if (report.pressed) {
+        hurry(*service, report.summed, now, frames);
+    }
+    return frames;
+}
+
+// Passes the first sign of a shortage on before the next period.
+void RoomExchange::hurry(Service& service, bool isSummed, MonoTime now, Frames& frames) {
+    const auto& sentAt = service.collector.sumSentAt;
+    if (!isSummed && (!sentAt || now - *sentAt >= kPeriod)) {
+        collect(service, now, frames);
+    }
+    if (!service.root.pressedAt && !service.root.sums.empty()) {
+        decide(service, now, frames);
+    }
 }
 
 std::vector<OutgoingFrame> RoomExchange::handleShares(const std::string& from,
@@ -234,12 +266,17 @@
 
 // To the boxes of the group, and to those that report here since they know different boxes.
 void RoomExchange::passOn(Service& service, SharesMessage message, MonoTime now, Frames& frames) {
-    if (!service.collector.rounds.accept(message.rank, message.round, now)) {
+    Collector& collector = service.collector;
+    const bool isNew = message.round > 0
+                           ? collector.rounds.accept(message.rank, message.round, now)
+                           : !collector.askedAt || now - *collector.askedAt >= kPeriod;
+    if (!isNew) {
         return;
     }
+    collector.askedAt = now;
     const std::vector<std::string> group = m_keepers.groupOf(m_self);
     std::set<std::string> to(group.begin(), group.end());
-    service.collector.reports.forEachSender([&](const std::string& box) { to.insert(box); });
+    collector.reports.forEachSender([&](const std::string& box) { to.insert(box); });
     to.erase(m_self);
     if (!to.empty()) {
         frames.push_back({{to.begin(), to.end()}, EncodeRoomShares(service.name, message, false)});
@@ -250,6 +287,10 @@
 void RoomExchange::Take(Service& service, SharesMessage message, size_t collector, MonoTime now) {
     Reporter& reporter = service.reporter;
     reporter.choice.noteShares(collector);
+    if (message.round == 0) {
+        reporter.wantedAt = now;
+        return;
+    }
     if (!reporter.rounds.accept(message.rank, message.round, now)) {
         return;
     }
--- a/tests/RoomFleetReplayTest.cpp
+++ b/tests/RoomFleetReplayTest.cpp
@@ -24,8 +24,8 @@
 constexpr Millis kSettled = kBurst + 1000;
 constexpr Millis kRecovered = kBurstEnd + 1000;
 // Signs of a shortage count for two seconds at a box.
-constexpr Millis kCalm = kRecovered + 2000 + RoomExchange::kAfterShortage +
-                         RoomExchange::kReportTime + kMaxRoomAge;
+constexpr Millis kCalm =
+    kRecovered + 2000 + RoomExchange::kAfterShortage + RoomExchange::kReportTime + kMaxRoomAge;
 constexpr Millis kEnd = kCalm + 2000;
 constexpr Millis kFailure = kBurst + 3000;
 constexpr Millis kTransit = 2;
@@ -263,7 +263,7 @@
         REQUIRE(body.has_value());
         const std::string& from = m_known[datagram.from].address;
         if (const auto* report = body.value().AsRoomReport()) {
-            box.exchange->handleReport(from, *report, m_now);
+            sendAll(datagram.to, box.exchange->handleReport(from, *report, m_now));
         } else if (const auto* shares = body.value().AsRoomShares()) {
             sendAll(datagram.to, box.exchange->handleShares(from, *shares, m_now));
             applyShares(datagram.to);
