--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -17,7 +17,7 @@
 constexpr double kUsualFall = 0.5;
 
 // Part of the time left until the objective that a request may wait at an upstream.
-constexpr double kWaitFraction = 0.5;
+constexpr double kWaitFraction = 0.4;
 // Part of the requests that a priority has to have for its objective to count.
 constexpr double kNotablePart = 0.05;
 
@@ -41,7 +41,7 @@
 constexpr double kSpeedRecovery = 0.2;
 // In seconds, within which the requests in flight are brought to the limit. Too long a queue makes
 // all requests late, so it is shortened faster than a short one is filled.
-constexpr double kFillTime = 0.4;
+constexpr double kFillTime = 0.5;
 constexpr double kDrainTime = 0.2;
 constexpr Millis kMaxCountsAge = 1000;  // In milliseconds; older counts are not expected.
 // Part of the difference by which the mean demand of a class follows the counts.
