--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -13,6 +13,7 @@
 //   LocalRetryBudgets     this box's part of the retry budget
 //   StoreController     the watches of the store and whether it answers
 //   PeerMesh            the links to other boxes
+//   PeerDatagrams       the datagrams between boxes
 //   PeerSync            whom this box follows and what it asks other boxes
 //   CallerServer        callers' connections
 //   StatusServer        readiness for the balancer, metrics for the operators
@@ -85,6 +86,7 @@
     RolloutController m_rollouts;
     PeerSync m_sync;
     QuarantineController m_quarantine;
+    PeerDatagrams m_datagrams;
     StreamController m_streams;
     ReachMonitor m_reach;
     RelayController m_relays;
--- a/include/peers/StreamController.h
+++ b/include/peers/StreamController.h
@@ -1,22 +1,20 @@
 // Finds and announces the origins of streams: which service and software version began each of
 // them, so that whichever box a caller comes back to sends it to the same version.
 //
-// Owns the datagram socket on which boxes exchange origins, and the queries under way. Relies on
-// StreamOriginExchange for all decisions, on UpstreamList for the versions that are listed and on
-// PeerMesh for the boxes of the site.
+// Owns the queries under way. Relies on StreamOriginExchange for all decisions, on PeerDatagrams
+// for sending, on UpstreamList for the versions that are listed and on PeerMesh for the boxes of
+// the site.
 #pragma once
 
+#include "include/peers/PeerDatagrams.h"
 #include "include/peers/PeerMesh.h"
 #include "include/peers/StreamOriginExchange.h"
 #include "include/state/UpstreamList.h"
 
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,47 +37,44 @@
 
     // Preconditions: all arguments outlive the controller.
     StreamController(asio::io_context& io, const GatewaySettings& settings,
-                     const UpstreamList& upstreams, PeerMesh& mesh, Metrics& metrics);
+                     const UpstreamList& upstreams, PeerMesh& mesh, PeerDatagrams& datagrams,
+                     Metrics& metrics);
 
-    // Opens the socket on the address of this box's links. Errors: kUnavailable.
-    // Preconditions: the mesh was started; called once.
-    Result<bool> start();
+    // Begins to exchange origins with other boxes. Preconditions: the mesh was started; called
+    // once, before the datagrams are started.
+    void start();
 
     // Records that this box passed on the first event of a stream that its caller can take up until
     // `until`. `span`: how long streams of its route can last, in milliseconds.
-    // Preconditions: start() succeeded.
+    // Preconditions: start() was called.
     void begin(const StreamKey& stream, const StreamOrigin& origin, Millis span, MonoTime until);
     // Records that the stream no longer runs here. Preconditions: as above.
     void end(const StreamKey& stream) { m_exchange->end(stream.hash); }
 
-    // Finds the origin of a stream, within kQueryTimeout. Preconditions: start() succeeded.
+    // Finds the origin of a stream, within kQueryTimeout. Preconditions: start() was called.
     Task<StreamOriginReport> find(StreamKey stream, std::string service, Millis span);
 
-    // The versions of `service` that get no new streams yet. Preconditions: start() succeeded.
+    // The versions of `service` that get no new streams yet. Preconditions: start() was called.
     std::set<std::string> heldBack(const ServiceId& service) const {
         return m_exchange->versions().heldBack(service);
     }
 
 private:
-    using Udp = asio::ip::udp;
     struct OpenQuery {
         StreamOriginQuery query;
         asio::steady_timer done;  // Cancelled when the query is complete.
     };
 
-    Task<> receive();
     Task<> run();
-    void handle(const Udp::endpoint& from, std::span<const char> datagram);
-    void send(const std::string& box, const std::string& frame);
-    void sendAll(std::span<const OutgoingFrame> frames);
+    void handleReply(const std::string& from, const wire::StreamOriginReplyT& reply);
     void sendTo(const std::set<std::string>& boxes, const std::string& frame);
 
     asio::io_context& m_io;
     const UpstreamList& m_upstreams;
     PeerMesh& m_mesh;
+    PeerDatagrams& m_datagrams;
     Metrics& m_metrics;
     std::string m_zone;
-    Udp::socket m_socket;
     std::optional<StreamOriginExchange> m_exchange;  // Set once this box knows its address.
     std::unordered_map<uint64_t, std::vector<std::shared_ptr<OpenQuery>>> m_queries;
     uint64_t m_directoryVersion = 0;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -57,7 +57,8 @@
       m_sync(settings, dialect, {m_configuration, m_upstreams, m_evacuations, m_rollouts}, m_store,
              m_mesh),
       m_quarantine(io, m_records, m_upstreams, m_mesh, m_log),
-      m_streams(io, settings, m_upstreams, m_mesh, m_metrics),
+      m_datagrams(io, m_metrics),
+      m_streams(io, settings, m_upstreams, m_mesh, m_datagrams, m_metrics),
       m_reach(io, m_upstreams, m_metrics,
               [this](const ServiceId& service, bool lost) { onReachChange(service, lost); }),
       m_relays(settings, m_mesh),
@@ -80,7 +81,8 @@
     BOOST_OUTCOME_TRY(m_callers.start());
     BOOST_OUTCOME_TRY(m_status.start(m_io));
     BOOST_OUTCOME_TRY(m_mesh.start());
-    BOOST_OUTCOME_TRY(m_streams.start());
+    m_streams.start();
+    BOOST_OUTCOME_TRY(m_datagrams.start(m_mesh.endpoint()));
     m_store.start();
     Spawn(m_io.get_executor(), trimConnections());
     Spawn(m_io.get_executor(), m_sync.run());
