--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -28,6 +28,7 @@
     kQuarantined,           // Upstreams crashed while running it, see RequestQuarantine.
     kPartQuarantined,       // The same while running requests with a part of its prompt.
     kStreamOriginUnknown,   // It takes up a stream, and no box knows which version began it.
+    kNoRoom,                // Its service has more requests than it can finish in time.
     kNoUpstream,            // No upstream accepted the request, and none ran it.
     kTimedOut,              // The last attempt timed out; the request may have run.
     kUnclear,               // The last attempt ended in another way; the request may have run.
--- a/include/config/Settings.h
+++ b/include/config/Settings.h
@@ -34,6 +34,7 @@
     // A number may be written whole or as a fraction; `number` rounds to a whole one.
     std::string text(std::string_view key, std::string_view otherwise);
     int64_t number(std::string_view key, int64_t otherwise, int64_t least, int64_t most);
+    bool flag(std::string_view key, bool otherwise);
     double real(std::string_view key, double otherwise, double least, double most);
     // A time in milliseconds, which the file has under one key in milliseconds or under the other
     // in seconds; the one in seconds counts if there are both.
--- a/include/gateway/Gateway.h
+++ b/include/gateway/Gateway.h
@@ -14,6 +14,7 @@
 //   StoreController     the watches of the store and whether it answers
 //   PeerMesh            the links to other boxes
 //   PeerDatagrams       the datagrams between boxes
+//   RoomController      which requests are admitted for want of room
 //   PeerSync            whom this box follows and what it asks other boxes
 //   CallerServer        callers' connections
 //   StatusServer        readiness for the balancer, metrics for the operators
@@ -88,6 +89,7 @@
     QuarantineController m_quarantine;
     PeerDatagrams m_datagrams;
     StreamController m_streams;
+    RoomController m_room;
     ReachMonitor m_reach;
     RelayController m_relays;
     RequestContext m_context;
--- a/include/request/Attempt.h
+++ b/include/request/Attempt.h
@@ -22,6 +22,7 @@
     const Admission& admission;
     const RequestAttempts& attempts;  // So far, without this one.
     bool first = false;               // No attempt of the request was sent before.
+    MonoTime arrived;                 // The caller's request, at this box.
 };
 
 // Not thread safe: one io_context, one task.
@@ -48,6 +49,7 @@
     bool isOfPast() const;
     std::optional<Millis> timeToFirstByte(AttemptEnd end, Millis took) const;
     void noteHealth(AttemptEnd end);
+    void noteRoom(const AttemptReport& report);
     void noteReach(const AttemptReport& report);
 
     RequestContext& m_context;
@@ -57,6 +59,7 @@
     AttemptPlace m_place;
     std::shared_ptr<UpstreamExchange> m_exchange;
     MonoTime m_start;
+    MonoTime m_sentAt;  // Once it was sent.
     bool m_sent = false;
     std::string m_connectError;  // Why no connection could be opened; empty: none failed.
 };
--- a/include/request/RequestContext.h
+++ b/include/request/RequestContext.h
@@ -9,6 +9,7 @@
 #include "include/peers/PeerMesh.h"
 #include "include/peers/RelayController.h"
 #include "include/peers/RolloutController.h"
+#include "include/peers/RoomController.h"
 #include "include/peers/StreamController.h"
 #include "include/request/PlaceAttempt.h"
 #include "include/request/QuarantineController.h"
@@ -41,6 +42,7 @@
     StreamController& streams;
     ReachMonitor& reach;
     RelayController& relays;
+    RoomController& room;
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/request/RequestHandler.h
+++ b/include/request/RequestHandler.h
@@ -2,6 +2,7 @@
 //
 //   AdmitStep    whether this box handles it
 //   StreamStep   what began the stream that it takes up
+//   RoomStep     whether its service has room for it
 //   RelayStep    whether another box handles it
 //   PlaceStep    to which upstream its next attempt goes
 //   AttemptStep  the attempt
@@ -21,6 +22,7 @@
 #include "include/request/RelayStep.h"
 #include "include/request/RequestContext.h"
 #include "include/request/RequestProgress.h"
+#include "include/request/RoomStep.h"
 #include "include/request/StreamStep.h"
 
 #include <optional>
@@ -53,6 +55,7 @@
     RequestProgress m_progress;
     AdmitStep m_admit;
     StreamStep m_stream;
+    RoomStep m_room;
     PlaceStep m_place;
     JudgeStep m_judge;
     RelayStep m_relay;
--- a/include/request/RequestLog.h
+++ b/include/request/RequestLog.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "include/admission/Admission.h"
+#include "include/admission/RoomGate.h"
 #include "include/dialect/Dialect.h"
 #include "include/observe/Metrics.h"
 #include "include/peers/StreamController.h"
@@ -83,6 +84,9 @@
     // Preconditions: none.
     void streamTakenUp(const CallerFacts& facts, const StreamOriginReport& report);
 
+    // A request is refused for want of room. Preconditions: none.
+    void noRoom(const std::string& request, const Admission& admission, const NoRoom& decision);
+
     // The request goes out to an upstream. Preconditions: none.
     void sent(const ServiceId& service);
 
--- a/include/state/GatewaySettings.h
+++ b/include/state/GatewaySettings.h
@@ -43,6 +43,7 @@
     std::string logLevel = "info";
 
     AdmissionRules admission;
+    bool admitByRoom = true;  // Requests are refused for want of room; see RoomGate.
     StorePacingSettings pacing;
     Millis storeTimeout = 1500;  // For a store's answer, beyond the time that it may be held.
     WatcherSelectorSettings watcherSelector;
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -104,6 +104,19 @@
     return value;
 }
 
+bool SettingsReader::flag(std::string_view key, bool otherwise) {
+    m_asked.emplace(key);
+    const auto node = m_document->table.at_path(key);
+    if (!node) {
+        return otherwise;
+    }
+    if (const auto* value = node.as_boolean()) {
+        return value->get();
+    }
+    expect(key, "true or false", TypeName(*node.node()));
+    return otherwise;
+}
+
 int64_t SettingsReader::number(std::string_view key, int64_t otherwise, int64_t least,
                                int64_t most) {
     m_asked.emplace(key);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -59,12 +59,13 @@
       m_quarantine(io, m_records, m_upstreams, m_mesh, m_log),
       m_datagrams(io, m_metrics),
       m_streams(io, settings, m_upstreams, m_mesh, m_datagrams, m_metrics),
+      m_room(io, settings, {m_upstreams, m_records, m_evacuations}, m_mesh, m_datagrams, m_metrics),
       m_reach(io, m_upstreams, m_metrics,
               [this](const ServiceId& service, bool lost) { onReachChange(service, lost); }),
       m_relays(settings, m_mesh),
       m_context{io,         settings,  dialect,     m_configuration, m_upstreams, m_evacuations,
                 m_records,  m_retries, m_lifecycle, m_mesh,          m_log,       m_quarantine,
-                m_rollouts, m_streams, m_reach,     m_relays},
+                m_rollouts, m_streams, m_reach,     m_relays,        m_room},
       m_callers(m_context),
       m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
                [this] { return ready(); }) {}
@@ -82,6 +83,7 @@
     BOOST_OUTCOME_TRY(m_status.start(m_io));
     BOOST_OUTCOME_TRY(m_mesh.start());
     m_streams.start();
+    m_room.start();
     BOOST_OUTCOME_TRY(m_datagrams.start(m_mesh.endpoint()));
     m_store.start();
     Spawn(m_io.get_executor(), trimConnections());
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -50,6 +50,7 @@
     report.upstreamEnded =
         m_sent && broke && (report.connection.end == ConnectionEnd::kPeer || isOfPast());
     noteReach(report);
+    noteRoom(report);
     co_return report;
 }
 
@@ -69,7 +70,9 @@
         co_return RelayEnd{AttemptEnd::kNotSent, false};
     }
     m_sent = true;
+    m_sentAt = ReadClocks().mono;
     const Admission& admission = m_request.admission;
+    m_context.room.noteSent(admission.service, m_sentAt);
     if (m_request.first) {
         m_context.retries.recordFirstAttempt(admission.service, m_start);
     }
@@ -198,6 +201,28 @@
     }
 }
 
+// What an upstream that leaves or is cold turns away is no sign that the service is short of room.
+void Attempt::noteRoom(const AttemptReport& report) {
+    if (!m_sent) {
+        return;
+    }
+    const MonoTime now = ReadClocks().mono;
+    const Admission& admission = m_request.admission;
+    const UpstreamFacts& facts = m_exchange->facts();
+    RoomEnd end;
+    end.priority = admission.priority;
+    end.objective = admission.route->objective;
+    end.took = now - m_sentAt;
+    // A failure that is answered has kept a slot busy like an answer.
+    const bool failed = report.end == AttemptEnd::kFailed && !m_relay.headSent();
+    if (const auto firstByte = failed ? std::optional(report.took) : report.firstByte) {
+        end.firstByte = m_start + *firstByte - m_request.arrived;
+    }
+    end.declined =
+        report.end == AttemptEnd::kDeclined && !facts.leaving && facts.coldLeft.value_or(0) == 0;
+    m_context.room.noteEnded(admission.service, end, now);
+}
+
 // A caller that left says nothing of the upstream.
 void Attempt::noteHealth(AttemptEnd end) {
     const auto sign = AttemptHealthSignal(end, m_exchange->unreachable());
--- a/src/request/RequestHandler.cpp
+++ b/src/request/RequestHandler.cpp
@@ -9,6 +9,7 @@
       m_request(std::move(request), context.random(), caller.isFromBox()),
       m_admit(context, m_request),
       m_stream(context, m_request, m_progress),
+      m_room(context, m_request, m_stream),
       m_place(context, m_request, m_stream),
       m_judge(context, m_request, caller, m_progress),
       m_relay(context, caller, m_request, m_progress, m_judge),
@@ -57,7 +58,7 @@
     if (!refusal && m_stream.origin()) {
         refusal = m_admit.admit(m_stream.service());
     }
-    co_return refusal;
+    co_return refusal ? refusal : m_room.ask();
 }
 
 Task<AfterAnswer> RequestHandler::serve() {
--- a/src/request/RequestLog.cpp
+++ b/src/request/RequestLog.cpp
@@ -77,6 +77,20 @@
                                      {"took_ms", std::to_string(report.took)}});
 }
 
+void RequestLog::noRoom(const std::string& request, const Admission& admission,
+                        const NoRoom& decision) {
+    const std::string priority = std::to_string(admission.priority);
+    m_metrics.count("onyx_room_refused_total",
+                    {{"service", admission.service.value}, {"priority", priority}});
+    logEvent(Event::kRequestNoRoom, {{"request", request},
+                                     {"service", admission.service.value},
+                                     {"priority", priority},
+                                     {"team", admission.team.value},
+                                     {"fraction", fmt::format("{:.3f}", decision.fraction)},
+                                     {"decided_by", decision.ownShares ? "own" : "site"},
+                                     {"retry_after_ms", std::to_string(decision.retryAfter)}});
+}
+
 void RequestLog::sent(const ServiceId& service) {
     m_metrics.count("onyx_sends_total", {{"service", service.value}});
 }
--- a/src/state/GatewaySettings.cpp
+++ b/src/state/GatewaySettings.cpp
@@ -148,6 +148,7 @@
         reader.number("peers.digest_bytes_per_second", settings.digestBudget, 50, 100000000);
     settings.logLevel = reader.text("log.level", settings.logLevel);
     settings.admission = ReadAdmission(reader);
+    settings.admitByRoom = reader.flag("admission.by_room", settings.admitByRoom);
     ReadPacing(reader, settings);
     settings.storeTimeout = reader.number("store.timeout_ms", settings.storeTimeout, 10, kDay);
     settings.evacuationBound = reader.number("store.evacuation_bound_ms", 0, 0, kDay);
