--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -62,7 +62,7 @@
     };
 
     void learnUsual(const RoomCounts& counts, double slots);
-    void learnUsual(const PriorityCounts& counts, double inFlight, double slots);
+    void learnUsual(const PriorityCounts& counts, double working, bool isFree);
     double workOf(int priority) const;
     Totals totalsOf(const RoomCounts& counts, double slots) const;
     void measureSpeed(const Totals& totals, MonoTime now);
@@ -84,9 +84,9 @@
     bool m_limited = false;
     std::vector<Admitted> m_admitted;  // The latest one last.
     MonoTime m_limitedSince;
-    std::optional<MonoTime> m_busySince;   // All slots are busy.
+    std::optional<MonoTime> m_busySince;     // All slots are busy.
     std::optional<MonoTime> m_crowdedSince;  // More in flight than the limit.
-    std::optional<MonoTime> m_amplySince;  // There is room for all.
+    std::optional<MonoTime> m_amplySince;    // There is room for all.
     std::optional<MonoTime> m_lastCut;
 };
 
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -31,11 +31,11 @@
 constexpr double kChance = 2;
 constexpr Millis kChanceTime = 400;
 constexpr double kAmpleDemand = 0.95;  // Of the room.
-constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
+constexpr Millis kAmpleTime = 500;     // In milliseconds, until nothing is limited any more.
 
 constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
-// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were busy
-// throughout.
+// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were
+// busy throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
 constexpr double kSpeedRecovery = 0.2;
@@ -48,8 +48,8 @@
 constexpr double kDemandSmoothing = 0.3;
 constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
 
-// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots free.
-// It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
+// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots
+// free. It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
 constexpr Millis kCutInterval = 600;
 constexpr double kDepthCut = 0.15;
 constexpr double kDepthRaise = 0.02;
@@ -93,24 +93,28 @@
 }
 
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
+    double busy = 0;  // Requests at upstreams while those that finished were there.
+    for (const PriorityCounts& entry : counts.priorities) {
+        busy += entry.busyMs / 1000;
+    }
+    // With all slots busy, the rest of the time was spent waiting for one.
+    const double working = busy > slots ? slots / busy : 1;
+    const bool isFree = counts.inFlight < kFreeFraction * slots;
     for (const PriorityCounts& entry : counts.priorities) {
         if (entry.finished > 0) {
-            learnUsual(entry, counts.inFlight, slots);
+            learnUsual(entry, working, isFree);
         }
     }
 }
 
-void ServiceRoom::learnUsual(const PriorityCounts& counts, double inFlight, double slots) {
+void ServiceRoom::learnUsual(const PriorityCounts& counts, double working, bool isFree) {
     const double measured = counts.busyMs / counts.finished / 1000;
     const auto known = m_usual.find(counts.priority);
     if (known == m_usual.end()) {
-        // With all slots busy, the rest of the time was spent waiting for one.
-        const double working = inFlight > slots ? slots / inFlight : 1;
         m_usual[counts.priority] = {measured * working, counts.firstByteMs * working};
         return;
     }
     Usual& usual = known->second;
-    const bool isFree = inFlight < kFreeFraction * slots;
     if (isFree || measured < usual.work) {
         usual.work = Follow(usual.work, measured);
     }
