--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -40,7 +40,8 @@
 public:
     // Time in milliseconds between two reports of a box, and two rounds of a collector or root.
     static constexpr Millis kPeriod = 200;
-    // Time in milliseconds for which a root goes on after the last report of a shortage.
+    // Time in milliseconds for which a root goes on after the last report of a shortage, or the
+    // last shares that limited a class.
     static constexpr Millis kAfterShortage = 2000;
     // Time in milliseconds for which a root only asks for reports when a shortage begins. The boxes
     // that report first are those that see it, and tell too little of the others.
@@ -114,7 +115,7 @@
     };
     struct Root {
         RoomReports sums{kMaxCollectors};
-        std::optional<MonoTime> pressedAt;  // When a sum last told of a shortage.
+        std::optional<MonoTime> pressedAt;  // Last sign of a shortage, or limit because of it.
         MonoTime activeSince;
         uint64_t round = 0;
         bool decides = false;  // Shares were worked out since the shortage began.
--- a/src/peers/RoomExchange.cpp
+++ b/src/peers/RoomExchange.cpp
@@ -174,6 +174,10 @@
         message.round = ++root.round;
         message.shares = root.room.update(sum, {service.slots, m_keepers.boxCount()}, now);
     }
+    // While enough is refused, no box may see a sign of the shortage.
+    if (message.shares.limited && !message.shares.classes.empty()) {
+        root.pressedAt = now;
+    }
     return message;
 }
 
--- a/tests/RoomExchangeTest.cpp
+++ b/tests/RoomExchangeTest.cpp
@@ -244,18 +244,100 @@
     const auto body = Decode(frames[0].frame);
     CHECK(body.AsRoomShares()->report);
     CHECK(body.AsRoomShares()->rank == 0);
-    CHECK(body.AsRoomShares()->round == 1);
+    // It only asks, since the counts are those of one box.
+    CHECK(body.AsRoomShares()->round == 0);
     // The shortage ends; reports go on.
+    RoomCounts calm;
+    calm.boxes = zone.boxes.size();
     Millis ms = kStart;
-    for (; ms < kStart + RoomExchange::kAfterShortage; ms += 200) {
-        root.handleReport(zone.collectors[0], MakeReport(MakeCounts(false), true), {ms});
+    for (; ms <= kStart + RoomExchange::kAfterShortage; ms += 200) {
+        root.handleReport(zone.collectors[0], MakeReport(calm, true), {ms});
         CHECK(root.makeDueFrames({ms}).size() == 1);
     }
-    ms += 200;
-    root.handleReport(zone.collectors[0], MakeReport(MakeCounts(false), true), {ms});
+    root.handleReport(zone.collectors[0], MakeReport(calm, true), {ms});
     CHECK(root.makeDueFrames({ms}).empty());
 }
 
+TEST_CASE("A root works shares out once enough boxes report, or after a while") {
+    const Zone zone;
+    const auto roundAt = [&](RoomExchange& root, size_t boxes, Millis ms) {
+        RoomCounts counts = MakeCounts(true);
+        counts.boxes = boxes;
+        root.handleReport(zone.collectors[0], MakeReport(counts, true), {ms});
+        const auto frames = root.makeDueFrames({ms});
+        REQUIRE(frames.size() == 1);
+        const auto body = Decode(frames[0].frame);
+        CHECK(body.AsRoomShares()->report);
+        return body.AsRoomShares()->round;
+    };
+    RoomExchange root = zone.make(zone.roots[0]);
+    CHECK(roundAt(root, 1, kStart) == 0);
+    CHECK(roundAt(root, zone.boxes.size(), kStart + 200) == 1);
+    CHECK(roundAt(root, 1, kStart + 400) == 2);
+    // Most boxes are of an older build and never report.
+    RoomExchange other = zone.make(zone.roots[0]);
+    CHECK(roundAt(other, 1, kStart) == 0);
+    CHECK(roundAt(other, 1, kStart + RoomExchange::kMaxAskTime) == 1);
+}
+
+TEST_CASE("The first sign of a shortage is passed on before the next period") {
+    const Zone zone;
+    RoomExchange collector = zone.make(zone.collectors[0]);
+    const auto calm = MakeReport(MakeCounts(false), false);
+    const auto pressed = MakeReport(MakeCounts(true), false);
+    CHECK(collector.handleReport(zone.plain[0], calm, {kStart}).empty());
+    const auto frames = collector.handleReport(zone.plain[0], pressed, {kStart});
+    REQUIRE(frames.size() == 1);
+    CHECK(frames[0].to == zone.roots);
+    // Only the first one.
+    CHECK(collector.handleReport(zone.plain[1], pressed, {kStart + 100}).empty());
+
+    RoomExchange root = zone.make(zone.roots[0]);
+    const auto sum = MakeReport(MakeCounts(true), true);
+    CHECK(root.handleReport(zone.collectors[0], sum, {kStart}).size() == 1);
+    CHECK(root.handleReport(zone.collectors[0], sum, {kStart + 100}).empty());
+}
+
+TEST_CASE("A box that is only asked reports and keeps the shares that it has") {
+    const Zone zone;
+    const auto ask = MakeFrame(MakeShares(0, 0.1), true);
+    RoomExchange collector = zone.make(zone.collectors[0]);
+    CHECK(collector.handleShares(zone.roots[0], ask, {kStart}).size() == 1);
+    // The second root asks as well.
+    CHECK(collector.handleShares(zone.roots[1], ask, {kStart + 10}).empty());
+    CHECK(collector.isReportWanted(kService, {kStart}));
+    CHECK_FALSE(collector.sharesOf(kService));
+
+    RoomExchange box = zone.make(zone.plain[0]);
+    box.handleShares(zone.collectors[0], MakeFrame(MakeShares(1, 0.5), false), {kStart});
+    box.handleShares(zone.collectors[0], MakeFrame(MakeShares(0, 0.1), false), {kStart + 2000});
+    CHECK(box.isReportWanted(kService, {kStart + 2000}));
+    CHECK(box.sharesOf(kService)->asOf == MonoTime{kStart});
+}
+
+// Guards against the end of limits in the middle of a shortage, at which no box sees a sign of it
+// since enough is refused.
+TEST_CASE("A root goes on while it limits requests though no box sees a shortage") {
+    const Zone zone;
+    RoomExchange root = zone.make(zone.roots[0]);
+    RoomCounts counts = MakeCounts(true);
+    counts.boxes = zone.boxes.size();
+    counts.inFlight = 60;
+    counts.declined = 200;
+    counts.classes = {{{1, 7}, 2000, 400}};
+    counts.priorities = {{1, 250, 400, 0, 400.0 * 60, 60}};
+    Millis ms = kStart;
+    root.handleReport(zone.collectors[0], MakeReport(counts, true), {ms});
+    REQUIRE(root.makeDueFrames({ms}).size() == 1);
+    counts.pressed = false;
+    counts.declined = 0;
+    counts.inFlight = 24;
+    for (; ms < kStart + 3 * RoomExchange::kAfterShortage; ms += 200) {
+        root.handleReport(zone.collectors[0], MakeReport(counts, true), {ms});
+        CHECK(root.makeDueFrames({ms}).size() == 1);
+    }
+}
+
 TEST_CASE("A root sends to the second collector of a group whose first is silent") {
     const Zone zone;
     RoomExchange root = zone.make(zone.roots[0]);
