--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -68,7 +68,8 @@
     // Whether this box should report on `service` though it sees no shortage itself.
     // Preconditions: `now` does not decrease between calls.
     bool isReportWanted(const ServiceId& service, MonoTime now) const;
-    // Sets what this box saw of `service`; sent with the next frames. Preconditions: as above.
+    // Sets what this box saw of `service`; sent with the next frames, or as soon as a root asks for
+    // it within a period. Preconditions: as above.
     void setOwnCounts(const ServiceId& service, RoomCounts counts, MonoTime now);
 
     // Returns the frames that are due. Preconditions: as above; called every kPeriod.
@@ -144,7 +145,7 @@
     void hurry(Service& service, bool isSummed, MonoTime now, Frames& frames);
     void decide(Service& service, MonoTime now, Frames& frames);
     SharesMessage makeShares(Service& service, const RoomCounts& sum, MonoTime now) const;
-    static bool IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now);
+    static bool IsActive(Service& service, const std::optional<RoomCounts>& sum, MonoTime now);
     std::vector<std::string> activeCollectors(const Service& service, MonoTime now) const;
     void passOn(Service& service, SharesMessage message, MonoTime now, Frames& frames);
     static void Take(Service& service, SharesMessage message, size_t collector, MonoTime now);
--- a/src/peers/RoomExchange.cpp
+++ b/src/peers/RoomExchange.cpp
@@ -16,6 +16,14 @@
                                     : std::optional<size_t>(found - addresses.begin());
 }
 
+// Whether the shares refuse a notable part of some class.
+bool Limits(const RoomShares& shares) {
+    constexpr double kNotable = 0.95;
+    return shares.limited &&
+           std::any_of(shares.classes.begin(), shares.classes.end(),
+                       [](const ClassShare& share) { return share.fraction < kNotable; });
+}
+
 }  // namespace
 
 RoomExchange::Service::Service(std::string service)
@@ -107,15 +115,15 @@
 
 void RoomExchange::report(Service& service, MonoTime now, Frames& frames) {
     Reporter& reporter = service.reporter;
-    const auto counts = std::exchange(reporter.counts, std::nullopt);
-    if (!counts || now - reporter.countsAt > kMaxRoomAge ||
-        (!counts->pressed && !IsReportWanted(service, now))) {
+    if (!reporter.counts || now - reporter.countsAt > kPeriod ||
+        (!reporter.counts->pressed && !IsReportWanted(service, now))) {
         return;
     }
     const std::vector<std::string>& collectors = keepersOf(service).collectors;
     if (collectors.empty()) {
         return;
     }
+    const auto counts = std::exchange(reporter.counts, std::nullopt);
     const std::string& to = collectors[reporter.choice.choose(collectors.size(), now)];
     if (to == m_self) {
         service.collector.reports.put(m_self, *counts, now);
@@ -145,8 +153,7 @@
 
 void RoomExchange::decide(Service& service, MonoTime now, Frames& frames) {
     const auto sum = service.root.sums.sum(now);
-    if (!IsActive(service.root, sum, now) || !sum || service.slots <= 0 ||
-        !keepersOf(service).asRoot) {
+    if (!IsActive(service, sum, now) || !sum || service.slots <= 0 || !keepersOf(service).asRoot) {
         return;
     }
     SharesMessage message = makeShares(service, *sum, now);
@@ -174,19 +181,25 @@
         message.round = ++root.round;
         message.shares = root.room.update(sum, {service.slots, m_keepers.boxCount()}, now);
     }
-    // While enough is refused, no box may see a sign of the shortage.
-    if (message.shares.limited && !message.shares.classes.empty()) {
+    if (message.rank == 0 && Limits(message.shares)) {
         root.pressedAt = now;
     }
     return message;
 }
 
-// Follows whether there is a shortage, or was one lately; forgets it afterwards.
-bool RoomExchange::IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now) {
+// Follows whether there is a shortage, or was one lately; forgets it afterwards. While enough is
+// refused, no box may see a sign of it; so the shares that are in force count as well.
+bool RoomExchange::IsActive(Service& service, const std::optional<RoomCounts>& sum, MonoTime now) {
+    Root& root = service.root;
     if (sum && sum->pressed) {
         root.activeSince = root.pressedAt ? root.activeSince : now;
         root.pressedAt = now;
     }
+    const auto& inForce = service.reporter.shares;
+    if (root.pressedAt && inForce && now - inForce->asOf <= kMaxRoomAge &&
+        Limits(inForce->shares)) {
+        root.pressedAt = now;
+    }
     if (root.pressedAt && now - *root.pressedAt > kAfterShortage) {
         root.pressedAt.reset();
         root.decides = false;
@@ -259,12 +272,16 @@
     if (!sender) {
         return frames;
     }
+    const bool wasWanted = IsReportWanted(*service, now);
     if (!isFromRoot) {
         Take(*service, std::move(*message), *sender, now);
     } else if (keepers.asCollector) {
         message->rank = *sender;
         passOn(*service, std::move(*message), now, frames);
     }
+    if (!wasWanted) {
+        report(*service, now, frames);  // The counts of the last period, if they are not sent yet.
+    }
     return frames;
 }
 
--- a/tests/RoomExchangeTest.cpp
+++ b/tests/RoomExchangeTest.cpp
@@ -338,6 +338,30 @@
     }
 }
 
+TEST_CASE("The second root goes on while the shares of the first limit requests") {
+    const Zone zone;
+    RoomCounts calm;
+    calm.boxes = zone.boxes.size();
+    const auto framesOf = [&](RoomExchange& root, Millis ms, double fraction) {
+        root.handleReport(zone.collectors[0], MakeReport(calm, true), {ms});
+        const auto frame = MakeFrame(MakeShares(static_cast<uint64_t>(ms), fraction), false);
+        root.handleShares(zone.collectors[0], frame, {ms});
+        return root.makeDueFrames({ms}).size();
+    };
+    RoomExchange limited = zone.make(zone.roots[1]);
+    RoomExchange free = zone.make(zone.roots[1]);
+    for (RoomExchange* root : {&limited, &free}) {
+        root->handleReport(zone.collectors[0], MakeReport(MakeCounts(true), true), {kStart});
+    }
+    const Millis later = kStart + RoomExchange::kAfterShortage + 600;
+    for (Millis ms = kStart + 200; ms < later; ms += 200) {
+        framesOf(limited, ms, 0.5);
+        framesOf(free, ms, 1);
+    }
+    CHECK(framesOf(limited, later, 0.5) == 1);
+    CHECK(framesOf(free, later, 1) == 0);
+}
+
 TEST_CASE("A root sends to the second collector of a group whose first is silent") {
     const Zone zone;
     RoomExchange root = zone.make(zone.roots[0]);
