--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -40,7 +40,8 @@
 public:
     // Time in milliseconds between two reports of a box, and two rounds of a collector or root.
     static constexpr Millis kPeriod = 200;
-    // Time in milliseconds for which a root goes on after the last report of a shortage.
+    // Time in milliseconds for which a root goes on after the last report of a shortage, or the
+    // last shares that limited a class.
     static constexpr Millis kAfterShortage = 2000;
     // Time in milliseconds for which a root only asks for reports when a shortage begins. The boxes
     // that report first are those that see it, and tell too little of the others.
@@ -67,7 +68,8 @@
     // Whether this box should report on `service` though it sees no shortage itself.
     // Preconditions: `now` does not decrease between calls.
     bool isReportWanted(const ServiceId& service, MonoTime now) const;
-    // Sets what this box saw of `service`; sent with the next frames. Preconditions: as above.
+    // Sets what this box saw of `service`; sent with the next frames, or as soon as a root asks for
+    // it within a period. Preconditions: as above.
     void setOwnCounts(const ServiceId& service, RoomCounts counts, MonoTime now);
 
     // Returns the frames that are due. Preconditions: as above; called every kPeriod.
@@ -114,7 +116,7 @@
     };
     struct Root {
         RoomReports sums{kMaxCollectors};
-        std::optional<MonoTime> pressedAt;  // When a sum last told of a shortage.
+        std::optional<MonoTime> pressedAt;  // Last sign of a shortage, or limit because of it.
         MonoTime activeSince;
         uint64_t round = 0;
         bool decides = false;  // Shares were worked out since the shortage began.
@@ -143,7 +145,7 @@
     void hurry(Service& service, bool isSummed, MonoTime now, Frames& frames);
     void decide(Service& service, MonoTime now, Frames& frames);
     SharesMessage makeShares(Service& service, const RoomCounts& sum, MonoTime now) const;
-    static bool IsActive(Root& root, const std::optional<RoomCounts>& sum, MonoTime now);
+    static bool IsActive(Service& service, const std::optional<RoomCounts>& sum, MonoTime now);
     std::vector<std::string> activeCollectors(const Service& service, MonoTime now) const;
     void passOn(Service& service, SharesMessage message, MonoTime now, Frames& frames);
     static void Take(Service& service, SharesMessage message, size_t collector, MonoTime now);
