--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -79,14 +79,15 @@
 
     std::map<int, Usual> m_usual;            // By priority.
     std::map<DemandClass, double> m_demand;  // Mean of the last counts.
+    double m_meanDemand = 0;                 // Of all classes together.
     double m_speed = 0;                      // Work that the upstreams finish per second.
     double m_depth = 1;  // Part of the limit on requests in flight, as corrected.
     bool m_limited = false;
     std::vector<Admitted> m_admitted;  // The latest one last.
     MonoTime m_limitedSince;
-    std::optional<MonoTime> m_busySince;   // All slots are busy.
+    std::optional<MonoTime> m_busySince;     // All slots are busy.
     std::optional<MonoTime> m_crowdedSince;  // More in flight than the limit.
-    std::optional<MonoTime> m_amplySince;  // There is room for all.
+    std::optional<MonoTime> m_amplySince;    // There is room for all.
     std::optional<MonoTime> m_lastCut;
 };
 
--- a/src/admission/RoomGate.cpp
+++ b/src/admission/RoomGate.cpp
@@ -226,8 +226,8 @@
             demands.push_back({of, demand, 1});
             continue;
         }
-        ClassDemand& sum = others.try_emplace(of.priority, ClassDemand{{of.priority, 0}, 0, 0})
-                               .first->second;
+        ClassDemand& sum =
+            others.try_emplace(of.priority, ClassDemand{{of.priority, 0}, 0, 0}).first->second;
         sum.demand += demand;
         sum.weight += 1;
     }
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -30,12 +30,16 @@
 // room by chance, and the time in milliseconds for which they do not.
 constexpr double kChance = 2;
 constexpr Millis kChanceTime = 400;
-constexpr double kAmpleDemand = 0.95;  // Of the room.
+// Parts of the room: the mean demand below which there is no shortage, and the demand below which
+// one has ended.
+constexpr double kHighDemand = 0.8;
+constexpr double kAmpleDemand = 0.95;
+constexpr double kMeanDemandSmoothing = 0.2;
 constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
 
 constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
-// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were busy
-// throughout.
+// In milliseconds. The time that the other counts cover; they tell the speed only if all slots were
+// busy throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
 constexpr double kSpeedRecovery = 0.2;
@@ -48,8 +52,8 @@
 constexpr double kDemandSmoothing = 0.3;
 constexpr double kMinAdmitted = 0.02;  // Of the slots; finds out when upstreams finish work again.
 
-// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots free.
-// It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
+// The depth: 1 is the queue that the objectives allow, 0 none, and less than that leaves slots
+// free. It is cut at most once in the time that it takes to see what a cut does, in milliseconds.
 constexpr Millis kCutInterval = 600;
 constexpr double kDepthCut = 0.15;
 constexpr double kDepthRaise = 0.02;
@@ -79,6 +83,7 @@
     }
     learnUsual(counts, slots);
     const Totals totals = totalsOf(counts, slots);
+    m_meanDemand += kMeanDemandSmoothing * (totals.demand - m_meanDemand);
     measureSpeed(totals, now);
     adjustDepth(totals, now);
     const double limit = inFlightLimit(counts, totals);
@@ -194,23 +199,22 @@
 }
 
 bool ServiceRoom::isShort(const Totals& totals, double limit, MonoTime now) {
-    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
-        return true;
-    }
-    if (totals.inFlight >= totals.slots &&
-        totals.late > std::max(kMinSigns, kLatePart * totals.finished)) {
-        return true;
-    }
     if (totals.inFlight > limit + kChance * std::sqrt(limit)) {
         m_crowdedSince = m_crowdedSince.value_or(now);
     } else {
         m_crowdedSince.reset();
     }
-    if (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) {
+    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
         return true;
     }
+    // A queue that formed by chance ends by itself.
+    if (m_meanDemand < kHighDemand * m_speed || totals.inFlight < totals.slots) {
+        return false;
+    }
     const double chance = kChance * totals.meanWork * std::sqrt(totals.arrived / kArrivalsSpan);
-    return totals.inFlight > limit && totals.demand > m_speed + chance;
+    return totals.late > std::max(kMinSigns, kLatePart * totals.finished) ||
+           (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) ||
+           (totals.inFlight > limit && totals.demand > m_speed + chance);
 }
 
 void ServiceRoom::updateLimited(const Totals& totals, double limit, MonoTime now) {
--- a/tests/RoomReplay.h
+++ b/tests/RoomReplay.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <sstream>
+#include <string>
 #include <vector>
 
 namespace onyx {
@@ -74,6 +76,7 @@
     }
 
     ReplayUpstreams& upstreams() { return m_upstreams; }
+    const ReplayUpstreams& upstreams() const { return m_upstreams; }
     std::vector<RoomGate>& gates() { return m_gates; }
     const std::deque<ReplayRequest>& requests() const { return m_requests; }
 
@@ -198,6 +201,34 @@
     MonoTime m_now{1000};
 };
 
+// The same load for `teams` teams, numbered from 1.
+inline std::vector<ReplayLoad> EqualTeams(uint32_t teams, ReplayLoad load) {
+    std::vector<ReplayLoad> loads;
+    for (load.of.team = 1; load.of.team <= teams; ++load.of.team) {
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+inline std::vector<DemandClass> EqualClasses(uint32_t first, uint32_t last) {
+    std::vector<DemandClass> classes;
+    for (uint32_t team = first; team <= last; ++team) {
+        classes.push_back({5, team});
+    }
+    return classes;
+}
+
+// `times` the usual from `from` until `to`, of one class `hotTimes` that.
+inline RoomReplay::Factor BurstOf(Millis from, Millis to, double times, DemandClass hot,
+                                  double hotTimes) {
+    return [=](const ReplayLoad& load, MonoTime now) {
+        if (now.ms < from || now.ms >= to) {
+            return 1.0;
+        }
+        return load.of == hot ? times * hotTimes : times;
+    };
+}
+
 // What became of the requests that arrived within a time.
 struct ReplayTally {
     size_t arrived = 0;
@@ -218,6 +249,28 @@
         }
     }
 
+    double turnedAwayPart() const {
+        return arrived == 0 ? 0 : static_cast<double>(turnedAway) / static_cast<double>(arrived);
+    }
+
+    double inTimeOf(int priority) const {
+        double sum = 0;
+        for (const auto& [of, count] : inTimeByClass) {
+            sum += of.priority == priority ? count : 0;
+        }
+        return sum;
+    }
+
+    // `room` in seconds of slots.
+    std::string describe(double room, const std::vector<DemandClass>& equals) const {
+        std::ostringstream out;
+        out << arrived << " arrived, " << refused << " refused, " << turnedAway << " turned away ("
+            << turnedAwayPart() << "), " << inTime << " in time, " << late << " late; admitted "
+            << admittedWork / room << " of the room, in time " << inTimeWork / room << ", Jain "
+            << jain(equals);
+        return out.str();
+    }
+
     // Jain's index of the answers in time of `classes`: 1 if all have the same.
     double jain(const std::vector<DemandClass>& classes) const {
         double sum = 0;
