--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -26,7 +26,7 @@
 struct RoomSupply {
     double slots = 0;  // Of all its upstreams that take requests.
     size_t boxes = 1;  // Boxes of the site; those that do not report use their part of the room.
-    Millis age = 200;  // Mean time from the counts to the use of the shares, in milliseconds.
+    Millis age = 300;  // Mean time from the counts to the use of the shares, in milliseconds.
 };
 
 // Not thread safe: one task owns it.
--- a/src/admission/RoomCounts.cpp
+++ b/src/admission/RoomCounts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <set>
 
 namespace onyx {
@@ -16,19 +17,18 @@
     return std::min(a, b);
 }
 
-void AddClass(std::vector<ClassCounts>& classes, const ClassCounts& added) {
-    const auto known = std::find_if(classes.begin(), classes.end(), [&](const ClassCounts& counts) {
-        return counts.of == added.of;
-    });
-    if (known == classes.end()) {
-        classes.push_back(added);
-        return;
-    }
-    known->arrived += added.arrived;
-    known->admitted += added.admitted;
+using Classes = std::map<DemandClass, ClassCounts>;
+using Priorities = std::map<int, PriorityCounts>;
+
+void AddClass(Classes& classes, const ClassCounts& added) {
+    ClassCounts& counts = classes.try_emplace(added.of, ClassCounts{added.of}).first->second;
+    counts.arrived += added.arrived;
+    counts.admitted += added.admitted;
 }
 
-void MergePriority(PriorityCounts& counts, const PriorityCounts& added) {
+void AddPriority(Priorities& priorities, const PriorityCounts& added) {
+    PriorityCounts& counts =
+        priorities.try_emplace(added.priority, PriorityCounts{added.priority}).first->second;
     const double finished = counts.finished + added.finished;
     if (finished > 0) {
         counts.firstByteMs =
@@ -40,19 +40,15 @@
     counts.busyMs += added.busyMs;
 }
 
-void AddPriority(std::vector<PriorityCounts>& priorities, const PriorityCounts& added) {
-    const auto known = std::find_if(
-        priorities.begin(), priorities.end(),
-        [&](const PriorityCounts& counts) { return counts.priority == added.priority; });
-    if (known == priorities.end()) {
-        priorities.push_back(added);
-    } else {
-        MergePriority(*known, added);
+// Returns the last priority that is counted by itself; less urgent ones are counted with it.
+int LastPriority(const std::set<int>& priorities) {
+    if (priorities.size() <= RoomCounts::kMaxPriorities) {
+        return std::numeric_limits<int>::max();
     }
+    return *std::next(priorities.begin(), RoomCounts::kMaxPriorities - 1);
 }
 
-// Returns the last priority that is counted by itself; less urgent ones are counted with it.
-int LastPriority(const RoomCounts& counts) {
+std::set<int> PrioritiesOf(const RoomCounts& counts) {
     std::set<int> priorities;
     for (const ClassCounts& entry : counts.classes) {
         priorities.insert(entry.of.priority);
@@ -60,42 +56,32 @@
     for (const PriorityCounts& entry : counts.priorities) {
         priorities.insert(entry.priority);
     }
-    if (priorities.size() <= RoomCounts::kMaxPriorities) {
-        return std::numeric_limits<int>::max();
-    }
-    return *std::next(priorities.begin(), RoomCounts::kMaxPriorities - 1);
+    return priorities;
 }
 
-void FoldPriorities(RoomCounts& counts) {
-    const int last = LastPriority(counts);
-    std::vector<ClassCounts> classes;
-    for (ClassCounts entry : counts.classes) {
-        entry.of.priority = std::min(entry.of.priority, last);
-        AddClass(classes, entry);
-    }
-    std::vector<PriorityCounts> priorities;
+void MergePriorities(RoomCounts& counts, int last) {
+    Priorities merged;
     for (PriorityCounts entry : counts.priorities) {
         entry.priority = std::min(entry.priority, last);
-        AddPriority(priorities, entry);
+        AddPriority(merged, entry);
+    }
+    counts.priorities.clear();
+    for (const auto& [priority, entry] : merged) {
+        counts.priorities.push_back(entry);
     }
-    counts.classes = std::move(classes);
-    counts.priorities = std::move(priorities);
 }
 
-// Counts the teams with the fewest arrivals together, as team 0 of their priority.
-void FoldClasses(std::vector<ClassCounts>& classes) {
+// Counts the teams with the fewest arrivals together, as team 0 of their priority. `priorities`:
+// how many there are.
+void BoundClasses(std::vector<ClassCounts>& classes, size_t priorities) {
     if (classes.size() <= RoomCounts::kMaxClasses) {
         return;
     }
-    std::set<int> priorities;
-    for (const ClassCounts& entry : classes) {
-        priorities.insert(entry.of.priority);
-    }
     std::sort(classes.begin(), classes.end(), [](const ClassCounts& a, const ClassCounts& b) {
         return a.arrived != b.arrived ? a.arrived > b.arrived : a.of < b.of;
     });
-    size_t places = RoomCounts::kMaxClasses - priorities.size();
-    std::vector<ClassCounts> kept;
+    size_t places = RoomCounts::kMaxClasses - priorities;
+    Classes kept;
     for (ClassCounts entry : classes) {
         if (entry.of.team != 0 && places > 0) {
             --places;
@@ -104,7 +90,23 @@
         }
         AddClass(kept, entry);
     }
-    classes = std::move(kept);
+    classes.clear();
+    for (const auto& [of, entry] : kept) {
+        classes.push_back(entry);
+    }
+}
+
+void MergeClasses(RoomCounts& counts, int last, size_t priorities) {
+    Classes merged;
+    for (ClassCounts entry : counts.classes) {
+        entry.of.priority = std::min(entry.of.priority, last);
+        AddClass(merged, entry);
+    }
+    counts.classes.clear();
+    for (const auto& [of, entry] : merged) {
+        counts.classes.push_back(entry);
+    }
+    BoundClasses(counts.classes, priorities);
 }
 
 }  // namespace
@@ -114,14 +116,12 @@
     pressed = pressed || other.pressed;
     inFlight += other.inFlight;
     declined += other.declined;
-    for (const ClassCounts& entry : other.classes) {
-        AddClass(classes, entry);
-    }
-    for (const PriorityCounts& entry : other.priorities) {
-        AddPriority(priorities, entry);
-    }
-    FoldPriorities(*this);
-    FoldClasses(classes);
+    classes.insert(classes.end(), other.classes.begin(), other.classes.end());
+    priorities.insert(priorities.end(), other.priorities.begin(), other.priorities.end());
+    const std::set<int> all = PrioritiesOf(*this);
+    const int last = LastPriority(all);
+    MergePriorities(*this, last);
+    MergeClasses(*this, last, std::min(all.size(), kMaxPriorities));
 }
 
 double RoomShares::fractionOf(const DemandClass& of) const {
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -42,7 +42,7 @@
 // busy throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
-constexpr double kSpeedRecovery = 0.2;
+constexpr double kSpeedRecovery = 0.4;
 // In seconds, within which the requests in flight are brought to the limit. Too long a queue makes
 // all requests late, so it is shortened faster than a short one is filled.
 constexpr double kFillTime = 0.5;
@@ -165,7 +165,9 @@
     }
     if (totals.inFlight < totals.slots) {
         m_busySince.reset();
-        m_speed += kSpeedRecovery * (totals.slots - m_speed);
+        if (totals.inFlight < kFreeFraction * totals.slots) {
+            m_speed += kSpeedRecovery * (totals.slots - m_speed);
+        }
         return;
     }
     m_busySince = m_busySince.value_or(now);
--- a/tests/RoomReplay.h
+++ b/tests/RoomReplay.h
@@ -28,10 +28,11 @@
 struct ReplayLoad {
     DemandClass of;
     double perSecond = 0;
-    Millis work = 60;         // Mean time in a slot, in milliseconds.
-    double firstPart = 1;     // Part of it until the first byte.
-    Millis objective = 250;   // For the first byte, in milliseconds.
-    bool isRepeated = false;  // Refused callers repeat at once, up to three times.
+    Millis work = 60;          // Mean time in a slot, in milliseconds.
+    double firstPart = 1;      // Part of it until the first byte.
+    Millis objective = 250;    // For the first byte, in milliseconds.
+    bool isRepeated = false;   // Refused callers repeat at once, up to three times,
+    bool isReturning = false;  // or return when they were told to, up to three times.
 };
 
 enum class ReplayOutcome : uint8_t { kPending, kRefused, kTurnedAway, kInTime, kLate };
@@ -125,16 +126,24 @@
             request.outcome = ReplayOutcome::kRefused;
             request.retryAfter = refusal->retryAfter;
             m_requests.push_back(request);
-            if (request.load->isRepeated && request.repeats < 3) {
-                ++request.repeats;
-                m_repeats[m_now.ms + 1 + static_cast<Millis>(below(20))].push_back(request);
-            }
+            sendAgain(request);
             return;
         }
         m_requests.push_back(request);
         send(m_requests.size() - 1);
     }
 
+    void sendAgain(ReplayRequest request) {
+        if (request.repeats++ == 3) {
+            return;
+        }
+        if (request.load->isRepeated) {
+            m_repeats[m_now.ms + 1 + static_cast<Millis>(below(20))].push_back(request);
+        } else if (request.load->isReturning) {
+            m_repeats[m_now.ms + request.retryAfter].push_back(request);
+        }
+    }
+
     // To the less loaded one of two.
     void send(size_t index) {
         ReplayRequest& request = m_requests[index];
--- a/tests/ServiceRoomReplayTest.cpp
+++ b/tests/ServiceRoomReplayTest.cpp
@@ -21,11 +21,11 @@
 
 const std::vector<DemandClass> kEquals = EqualClasses(2, 12);
 
-// Decides for some of the boxes, by their sums of one period ago.
+// Decides for some of the boxes, by their sums of one or more periods ago.
 class Root {
 public:
-    Root(size_t first, size_t end, size_t boxesKnown)
-        : m_first(first), m_end(end), m_boxesKnown(boxesKnown) {}
+    Root(size_t first, size_t end, size_t boxesKnown, size_t periodsLate = 1)
+        : m_first(first), m_end(end), m_boxesKnown(boxesKnown), m_periodsLate(periodsLate) {}
 
     void step(std::vector<RoomGate>& gates, double slots, MonoTime now) {
         if (now.ms % kPeriod != 0) {
@@ -36,21 +36,25 @@
         for (size_t i = m_first; i < m_end; ++i) {
             sum.add(gates[i].counts(now));
         }
-        if (m_last) {
-            const RoomShares shares = m_room.update(*m_last, {slots, m_boxesKnown, kPeriod}, now);
-            for (size_t i = m_first; i < m_end; ++i) {
-                gates[i].setShares(shares, now);
-            }
+        m_sums.push_back(sum);
+        if (m_sums.size() <= m_periodsLate) {
+            return;
+        }
+        const RoomSupply supply{slots, m_boxesKnown, static_cast<Millis>(m_periodsLate) * kPeriod};
+        const RoomShares shares = m_room.update(m_sums.front(), supply, now);
+        m_sums.pop_front();
+        for (size_t i = m_first; i < m_end; ++i) {
+            gates[i].setShares(shares, now);
         }
-        m_last = sum;
     }
 
 private:
     size_t m_first;
     size_t m_end;
     size_t m_boxesKnown;
+    size_t m_periodsLate;
     ServiceRoom m_room;
-    std::optional<RoomCounts> m_last;
+    std::deque<RoomCounts> m_sums;
 };
 
 void Play(RoomReplay& replay, const RoomReplay::Factor& factor) {
@@ -200,6 +204,40 @@
     CheckUndisturbed(replay, kRecovered, kLast);
 }
 
+TEST_CASE("Sums that are two periods late admit about the room") {
+    const size_t boxes = GENERATE(6, 83, 295, 985);
+    RoomReplay replay(boxes, {}, EqualTeams(12, ReplayLoad{{5, 0}, 20}), 11);
+    Root root(0, boxes, boxes, 2);
+    replay.play(kEnd, kHotBurst, [&](std::vector<RoomGate>& gates, MonoTime now) {
+        root.step(gates, replay.upstreams().allSlots(), now);
+    });
+    const ReplayTally tally(replay, kBurst, kBurstEnd);
+    const double room = RoomOf(replay, kBurst, kBurstEnd);
+    INFO(boxes << " boxes: " << tally.describe(room, kEquals));
+    CHECK(tally.admittedWork >= 0.9 * room);
+    CHECK(tally.admittedWork <= 1.1 * room);
+    CHECK(tally.turnedAwayPart() < 0.05);
+    CHECK(tally.jain(kEquals) >= 0.95);
+    CheckUndisturbed(replay, kCalm, kBurst);
+    CheckUndisturbed(replay, kRecovered, kLast);
+}
+
+TEST_CASE("Callers that return when they were told to do not come in one wave") {
+    const size_t boxes = GENERATE(6, 985);
+    std::vector<ReplayLoad> loads = EqualTeams(12, ReplayLoad{{5, 0}, 20});
+    for (ReplayLoad& load : loads) {
+        load.isReturning = true;
+    }
+    RoomReplay replay(boxes, {}, loads, 11);
+    Play(replay, kHotBurst);
+    INFO(boxes << " boxes");
+    CheckBurst(replay, kEquals);
+    const ReplayTally after(replay, kBurstEnd, kLast);
+    INFO("after: " << after.describe(RoomOf(replay, kBurstEnd, kLast), kEquals));
+    CHECK(after.turnedAwayPart() < 0.05);
+    CHECK(after.late < 0.05 * static_cast<double>(after.inTime));
+}
+
 TEST_CASE("Boxes that do not report use their part of the room") {
     const size_t boxes = 295;
     RoomReplay replay(boxes, {}, EqualTeams(12, ReplayLoad{{5, 0}, 20}), 11);
