--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -17,7 +17,7 @@
 constexpr double kUsualFall = 0.5;
 
 // Part of the time left until the objective that a request may wait at an upstream.
-constexpr double kWaitFraction = 0.4;
+constexpr double kWaitFraction = 0.33;
 // Part of the requests that a priority has to have for its objective to count.
 constexpr double kNotablePart = 0.05;
 
