--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -62,7 +62,7 @@
     };
 
     void learnUsual(const RoomCounts& counts, double slots);
-    void learnUsual(const PriorityCounts& counts, double inFlight, double slots);
+    void learnUsual(const PriorityCounts& counts, double working, bool isFree);
     double workOf(int priority) const;
     Totals totalsOf(const RoomCounts& counts, double slots) const;
     void measureSpeed(const Totals& totals, MonoTime now);
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -98,24 +98,28 @@
 }
 
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
+    double busy = 0;  // Requests at upstreams while those that finished were there.
+    for (const PriorityCounts& entry : counts.priorities) {
+        busy += entry.busyMs / 1000;
+    }
+    // With all slots busy, the rest of the time was spent waiting for one.
+    const double working = busy > slots ? slots / busy : 1;
+    const bool isFree = counts.inFlight < kFreeFraction * slots;
     for (const PriorityCounts& entry : counts.priorities) {
         if (entry.finished > 0) {
-            learnUsual(entry, counts.inFlight, slots);
+            learnUsual(entry, working, isFree);
         }
     }
 }
 
-void ServiceRoom::learnUsual(const PriorityCounts& counts, double inFlight, double slots) {
+void ServiceRoom::learnUsual(const PriorityCounts& counts, double working, bool isFree) {
     const double measured = counts.busyMs / counts.finished / 1000;
     const auto known = m_usual.find(counts.priority);
     if (known == m_usual.end()) {
-        // With all slots busy, the rest of the time was spent waiting for one.
-        const double working = inFlight > slots ? slots / inFlight : 1;
         m_usual[counts.priority] = {measured * working, counts.firstByteMs * working};
         return;
     }
     Usual& usual = known->second;
-    const bool isFree = inFlight < kFreeFraction * slots;
     if (isFree || measured < usual.work) {
         usual.work = Follow(usual.work, measured);
     }
