--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -61,6 +61,8 @@
         double work = 0;
     };
 
+    void forgetState();
+    void noteDemand(const Totals& totals);
     void learnUsual(const RoomCounts& counts, double slots);
     void learnUsual(const PriorityCounts& counts, double working, bool isFree);
     double workOf(int priority) const;
@@ -77,6 +79,7 @@
     void noteAdmitted(double work, MonoTime now);
     RoomShares sharesOf(const RoomCounts& counts, const Totals& totals, double room);
 
+    std::optional<MonoTime> m_lastUpdate;
     std::map<int, Usual> m_usual;            // By priority.
     std::map<DemandClass, double> m_demand;  // Mean of the last counts.
     double m_meanDemand = 0;                 // Of all classes together.
--- a/src/admission/FairShares.cpp
+++ b/src/admission/FairShares.cpp
@@ -63,6 +63,7 @@
         byPriority[classes[i].of.priority].push_back(i);
     }
     std::vector<double> demands;
+    demands.reserve(byPriority.size());
     for (const auto& [priority, members] : byPriority) {
         demands.push_back(TotalDemand(classes, members));
     }
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -37,6 +37,7 @@
 constexpr double kMeanDemandSmoothing = 0.2;
 constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
 
+constexpr Millis kMaxSilence = 2000;   // In milliseconds, between counts that follow each other.
 constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
 // In milliseconds. The time that the other counts cover; they tell the speed only if all slots were
 // busy throughout.
@@ -81,9 +82,13 @@
     if (slots <= 0) {
         return {};
     }
+    if (m_lastUpdate && now - *m_lastUpdate > kMaxSilence) {
+        forgetState();
+    }
     learnUsual(counts, slots);
     const Totals totals = totalsOf(counts, slots);
-    m_meanDemand += kMeanDemandSmoothing * (totals.demand - m_meanDemand);
+    noteDemand(totals);
+    m_lastUpdate = now;
     measureSpeed(totals, now);
     adjustDepth(totals, now);
     const double limit = inFlightLimit(counts, totals);
@@ -97,6 +102,18 @@
     return sharesOf(counts, totals, room);
 }
 
+// Requests take as long as before, but nothing is known of the queues and the load.
+void ServiceRoom::forgetState() {
+    std::map<int, Usual> usual = std::move(m_usual);
+    *this = ServiceRoom();
+    m_usual = std::move(usual);
+}
+
+void ServiceRoom::noteDemand(const Totals& totals) {
+    const double before = m_lastUpdate ? m_meanDemand : totals.demand;
+    m_meanDemand = before + kMeanDemandSmoothing * (totals.demand - before);
+}
+
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
     double busy = 0;  // Requests at upstreams while those that finished were there.
     for (const PriorityCounts& entry : counts.priorities) {
--- a/tests/ServiceRoomReplayTest.cpp
+++ b/tests/ServiceRoomReplayTest.cpp
@@ -102,6 +102,44 @@
     CheckUndisturbed(replay, kRecovered, kLast);
 }
 
+// Boxes report only while one of them sees a shortage, so the root knows nothing of the calm
+// before.
+TEST_CASE(
+    "A burst whose counts begin with the shortage gets what the upstreams can finish in time") {
+    const size_t boxes = GENERATE(6, 83, 295, 985);
+    RoomReplay replay(boxes, {}, EqualTeams(12, ReplayLoad{{5, 0}, 20}), 11);
+    Root root(0, boxes, boxes);
+    replay.play(kEnd, kHotBurst, [&](std::vector<RoomGate>& gates, MonoTime now) {
+        const bool isReported = now.ms > kBurst && now.ms < kBurstEnd + 3000;
+        if (isReported) {
+            root.step(gates, replay.upstreams().allSlots(), now);
+        }
+    });
+    INFO(boxes << " boxes");
+    CheckBurst(replay, kEquals);
+    CheckUndisturbed(replay, kCalm, kBurst);
+    CheckUndisturbed(replay, kRecovered, kLast);
+}
+
+TEST_CASE("A second burst is not decided by what is known of the first") {
+    const size_t boxes = GENERATE(6, 985);
+    RoomReplay replay(boxes, {}, EqualTeams(12, ReplayLoad{{5, 0}, 20}), 11);
+    Root root(0, boxes, boxes);
+    const RoomReplay::Factor first = BurstOf(2000, 3500, 2.6, {5, 1}, 8);
+    const RoomReplay::Factor factor = [&](const ReplayLoad& load, MonoTime now) {
+        return now.ms < kBurst ? first(load, now) : kHotBurst(load, now);
+    };
+    replay.play(kEnd, factor, [&](std::vector<RoomGate>& gates, MonoTime now) {
+        // The counts of the first end while everything is still limited.
+        if (now.ms < 3500 || now.ms > kBurst) {
+            root.step(gates, replay.upstreams().allSlots(), now);
+        }
+    });
+    INFO(boxes << " boxes");
+    CheckBurst(replay, kEquals);
+    CheckUndisturbed(replay, kRecovered, kLast);
+}
+
 TEST_CASE("No team gets less than half of its fair share of a burst") {
     RoomReplay replay(83, {}, EqualTeams(12, ReplayLoad{{5, 0}, 20}), 11);
     Play(replay, kHotBurst);
