--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -95,15 +95,17 @@
         MonoTime lastCut;
         MonoTime lastRaise;
     };
-    struct SlowAnswer {
-        bool slow = false;
+    // Of a shortage, by an end at an upstream: slower than without a queue; late or turned away.
+    enum class Sign : uint8_t { kNone, kSlow, kBad };
+    struct RecentEnd {
+        Sign sign = Sign::kNone;
         MonoTime at;
     };
 
     static constexpr Millis kCountStepMs = 50;    // Counts of ends cover 600 ms,
     static constexpr Millis kArrivalStepMs = 25;  // those of arrivals 300 ms,
     static constexpr Millis kOwnStepMs = 250;     // the rates for the own decision 3 s.
-    static constexpr size_t kAnswers = 8;  // The latest ones that show whether there is a queue.
+    static constexpr size_t kEnds = 8;            // The latest ones that may show a shortage.
 
     ClassState& classOf(const DemandClass& of, MonoTime now);
     double nextRandom();
@@ -119,6 +121,9 @@
     std::vector<ClassDemand> ownDemands(MonoTime now);
     double arrivalRate(MonoTime now);
 
+    static Sign SignOf(const RoomEnd& end);
+    void noteSign(Sign sign, MonoTime now);
+    int64_t countSigns(Sign least, MonoTime from) const;
     bool isPressed(MonoTime now) const;
     void forgetIdle(MonoTime now);
 
@@ -129,8 +134,8 @@
     RecentRate m_admittedLong{kOwnStepMs};
     RecentRate m_declined{kCountStepMs};
     std::optional<MonoTime> m_lastDeclined;
-    std::array<SlowAnswer, kAnswers> m_answers;
-    size_t m_nextAnswer = 0;
+    std::array<RecentEnd, kEnds> m_ends;
+    size_t m_nextEnd = 0;
     int64_t m_inFlight = 0;
 
     RefusedRequests m_refused;
--- a/src/admission/RoomGate.cpp
+++ b/src/admission/RoomGate.cpp
@@ -10,10 +10,13 @@
 
 // In milliseconds. Signs of a shortage count for this long.
 constexpr Millis kPressedTime = 2000;
-// Part of the objective after which an answer shows that there is a queue, and how many of the last
-// ones have to be that slow: one alone is the slow tail of a calm service.
+// Part of the objective after which an answer shows that there is a queue.
 constexpr double kSlowFraction = 0.75;
-constexpr size_t kMinSlow = 2;
+// Of the last ends: one alone is the slow tail of a calm service, or an upstream that has less room
+// than others.
+constexpr int64_t kMinSigns = 2;
+// In milliseconds. Within this time they make a box decide by itself.
+constexpr Millis kOwnSignTime = 4000;
 // In milliseconds. A class that has had no request for this long is forgotten.
 constexpr Millis kClassRetention = 10000;
 
@@ -35,6 +38,15 @@
 
 }  // namespace
 
+RoomGate::Sign RoomGate::SignOf(const RoomEnd& end) {
+    if (*end.firstByte > end.objective) {
+        return Sign::kBad;
+    }
+    const bool isSlow =
+        static_cast<double>(*end.firstByte) > kSlowFraction * static_cast<double>(end.objective);
+    return isSlow ? Sign::kSlow : Sign::kNone;
+}
+
 RoomGate::RoomGate(uint64_t seed) : m_random(seed) {}
 
 RoomDecision RoomGate::decide(const DemandClass& of, uint64_t fingerprint, MonoTime now) {
@@ -79,6 +91,7 @@
     if (end.declined) {
         m_declined.add(1, now);
         m_lastDeclined = now;
+        noteSign(Sign::kBad, now);
     } else if (end.firstByte) {
         PriorityState& state = m_priorities[end.priority];
         state.objective = end.objective;
@@ -86,9 +99,7 @@
         state.late.add(*end.firstByte > end.objective ? 1 : 0, now);
         state.busyMs.add(static_cast<double>(end.took), now);
         state.firstByteMs.add(static_cast<double>(*end.firstByte), now);
-        const bool slow = static_cast<double>(*end.firstByte) >
-                          kSlowFraction * static_cast<double>(end.objective);
-        m_answers[m_nextAnswer++ % kAnswers] = {slow, now};
+        noteSign(SignOf(end), now);
     }
     adjustOwn(end, now);
 }
@@ -242,8 +253,7 @@
         return;
     }
     refreshOwn(now);
-    const bool late = end.firstByte && *end.firstByte > end.objective;
-    if (end.declined || (late && (m_own || isPressed(now)))) {
+    if (end.declined || (end.firstByte && *end.firstByte > end.objective)) {
         cutOwn(now);
     } else if (m_own && end.firstByte && now - m_own->lastRaise >= kRaiseInterval) {
         const bool isFree = static_cast<double>(*end.firstByte) <
@@ -256,6 +266,9 @@
 void RoomGate::cutOwn(MonoTime now) {
     const double least = kMinOwnFraction * arrivalRate(now);
     if (!m_own) {
+        if (countSigns(Sign::kBad, now - kOwnSignTime) < kMinSigns) {
+            return;
+        }
         m_own = OwnRoom{std::max(least, kCut * m_admittedLong.perSecond(now)), now, now};
         m_ownSharesAt.reset();
     } else if (now - m_own->lastCut >= kCutInterval) {
@@ -268,14 +281,19 @@
     return std::max(1.0, m_arrivedLong.perSecond(now));
 }
 
+void RoomGate::noteSign(Sign sign, MonoTime now) {
+    m_ends[m_nextEnd++ % kEnds] = {sign, now};
+}
+
+// Returns how many of the last ends since `from` were at least that bad.
+int64_t RoomGate::countSigns(Sign least, MonoTime from) const {
+    return std::count_if(m_ends.begin(), m_ends.end(),
+                         [&](const RecentEnd& end) { return end.sign >= least && end.at >= from; });
+}
+
 bool RoomGate::isPressed(MonoTime now) const {
-    if (m_lastDeclined && now - *m_lastDeclined <= kPressedTime) {
-        return true;
-    }
-    const auto slow = std::count_if(m_answers.begin(), m_answers.end(), [&](const auto& answer) {
-        return answer.slow && now - answer.at <= kPressedTime;
-    });
-    return static_cast<size_t>(slow) >= kMinSlow;
+    return (m_lastDeclined && now - *m_lastDeclined <= kPressedTime) ||
+           countSigns(Sign::kSlow, now - kPressedTime) >= kMinSigns;
 }
 
 void RoomGate::forgetIdle(MonoTime now) {
--- a/tests/RoomGateTest.cpp
+++ b/tests/RoomGateTest.cpp
@@ -210,6 +210,16 @@
     CHECK_FALSE(gate.counts(now).pressed);
 }
 
+TEST_CASE("One request that is turned away does not limit a box") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    Offer(gate, kTeam, 1000, now, 2);
+    gate.noteSent(now);
+    gate.noteEnded(Declined(), now);
+    CHECK(gate.counts(now).pressed);
+    CHECK(Offer(gate, kTeam, 1000, now, 2) == 1000);
+}
+
 TEST_CASE("A box without shares cuts what it sends while upstreams turn requests away") {
     RoomGate gate(5);
     MonoTime now{10000};
@@ -254,8 +264,10 @@
     RoomGate gate(5);
     MonoTime now{10000};
     Offer(gate, kTeam, 1000, now, 2);
-    gate.noteSent(now);
-    gate.noteEnded(Declined(), now);
+    for (int i = 0; i < 2; ++i) {
+        gate.noteSent(now);
+        gate.noteEnded(Declined(), now);
+    }
     REQUIRE(gate.isLimited(now));
     gate.setShares({}, now);
     CHECK_FALSE(gate.isLimited(now));
