--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -279,12 +279,14 @@
 // The work in flight when the shares are used. The counts do not show yet what the last shares
 // admitted: without this the requests in flight would swing about the limit.
 double ServiceRoom::expectedInFlight(const Totals& totals, Millis age, MonoTime now) {
+    // Upstreams that turn requests away are full.
+    const bool isFull = totals.declined > kDeclinedPart * totals.arrived;
+    const double most = isFull ? m_speed : totals.demand;
     double work = totals.inFlight * totals.meanWork;
     MonoTime until = now;
     for (auto step = m_admitted.rbegin(); step != m_admitted.rend() && until > now - age; ++step) {
         const MonoTime from = std::max(step->from, now - age);
-        const double admitted =
-            std::max(0.0, std::min(step->work, totals.demand) - totals.declined * totals.meanWork);
+        const double admitted = std::min(step->work, most);
         work += (admitted - m_speed) * static_cast<double>(until - from) / 1000;
         until = from;
     }
