--- a/include/admission/ServiceRoom.h
+++ b/include/admission/ServiceRoom.h
@@ -26,7 +26,7 @@
 struct RoomSupply {
     double slots = 0;  // Of all its upstreams that take requests.
     size_t boxes = 1;  // Boxes of the site; those that do not report use their part of the room.
-    Millis age = 200;  // Mean time from the counts to the use of the shares, in milliseconds.
+    Millis age = 300;  // Mean time from the counts to the use of the shares, in milliseconds.
 };
 
 // Not thread safe: one task owns it.
@@ -61,6 +61,8 @@
         double work = 0;
     };
 
+    void forgetState();
+    void noteDemand(const Totals& totals);
     void learnUsual(const RoomCounts& counts, double slots);
     void learnUsual(const PriorityCounts& counts, double working, bool isFree);
     double workOf(int priority) const;
@@ -77,8 +79,10 @@
     void noteAdmitted(double work, MonoTime now);
     RoomShares sharesOf(const RoomCounts& counts, const Totals& totals, double room);
 
+    std::optional<MonoTime> m_lastUpdate;
     std::map<int, Usual> m_usual;            // By priority.
     std::map<DemandClass, double> m_demand;  // Mean of the last counts.
+    double m_meanDemand = 0;                 // Of all classes together.
     double m_speed = 0;                      // Work that the upstreams finish per second.
     double m_depth = 1;  // Part of the limit on requests in flight, as corrected.
     bool m_limited = false;
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -17,7 +17,7 @@
 constexpr double kUsualFall = 0.5;
 
 // Part of the time left until the objective that a request may wait at an upstream.
-constexpr double kWaitFraction = 0.4;
+constexpr double kWaitFraction = 0.33;
 // Part of the requests that a priority has to have for its objective to count.
 constexpr double kNotablePart = 0.05;
 
@@ -30,15 +30,20 @@
 // room by chance, and the time in milliseconds for which they do not.
 constexpr double kChance = 2;
 constexpr Millis kChanceTime = 400;
-constexpr double kAmpleDemand = 0.95;  // Of the room.
-constexpr Millis kAmpleTime = 500;     // In milliseconds, until nothing is limited any more.
+// Parts of the room: the mean demand below which there is no shortage, and the demand below which
+// one has ended.
+constexpr double kHighDemand = 0.8;
+constexpr double kAmpleDemand = 0.95;
+constexpr double kMeanDemandSmoothing = 0.2;
+constexpr Millis kAmpleTime = 500;  // In milliseconds, until nothing is limited any more.
 
+constexpr Millis kMaxSilence = 2000;   // In milliseconds, between counts that follow each other.
 constexpr double kArrivalsSpan = 0.3;  // In seconds; the time that the counts of arrivals cover.
 // In milliseconds. The time that the other counts cover; they tell the speed only if all slots were
 // busy throughout.
 constexpr Millis kCountsSpan = 600;
 constexpr double kSpeedSmoothing = 0.5;
-constexpr double kSpeedRecovery = 0.2;
+constexpr double kSpeedRecovery = 0.4;
 // In seconds, within which the requests in flight are brought to the limit. Too long a queue makes
 // all requests late, so it is shortened faster than a short one is filled.
 constexpr double kFillTime = 0.5;
@@ -77,8 +82,13 @@
     if (slots <= 0) {
         return {};
     }
+    if (m_lastUpdate && now - *m_lastUpdate > kMaxSilence) {
+        forgetState();
+    }
     learnUsual(counts, slots);
     const Totals totals = totalsOf(counts, slots);
+    noteDemand(totals);
+    m_lastUpdate = now;
     measureSpeed(totals, now);
     adjustDepth(totals, now);
     const double limit = inFlightLimit(counts, totals);
@@ -92,6 +102,18 @@
     return sharesOf(counts, totals, room);
 }
 
+// Requests take as long as before, but nothing is known of the queues and the load.
+void ServiceRoom::forgetState() {
+    std::map<int, Usual> usual = std::move(m_usual);
+    *this = ServiceRoom();
+    m_usual = std::move(usual);
+}
+
+void ServiceRoom::noteDemand(const Totals& totals) {
+    const double before = m_lastUpdate ? m_meanDemand : totals.demand;
+    m_meanDemand = before + kMeanDemandSmoothing * (totals.demand - before);
+}
+
 void ServiceRoom::learnUsual(const RoomCounts& counts, double slots) {
     double busy = 0;  // Requests at upstreams while those that finished were there.
     for (const PriorityCounts& entry : counts.priorities) {
@@ -164,7 +186,9 @@
     }
     if (totals.inFlight < totals.slots) {
         m_busySince.reset();
-        m_speed += kSpeedRecovery * (totals.slots - m_speed);
+        if (totals.inFlight < kFreeFraction * totals.slots) {
+            m_speed += kSpeedRecovery * (totals.slots - m_speed);
+        }
         return;
     }
     m_busySince = m_busySince.value_or(now);
@@ -198,23 +222,22 @@
 }
 
 bool ServiceRoom::isShort(const Totals& totals, double limit, MonoTime now) {
-    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
-        return true;
-    }
-    if (totals.inFlight >= totals.slots &&
-        totals.late > std::max(kMinSigns, kLatePart * totals.finished)) {
-        return true;
-    }
     if (totals.inFlight > limit + kChance * std::sqrt(limit)) {
         m_crowdedSince = m_crowdedSince.value_or(now);
     } else {
         m_crowdedSince.reset();
     }
-    if (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) {
+    if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
         return true;
     }
+    // A queue that formed by chance ends by itself.
+    if (m_meanDemand < kHighDemand * m_speed || totals.inFlight < totals.slots) {
+        return false;
+    }
     const double chance = kChance * totals.meanWork * std::sqrt(totals.arrived / kArrivalsSpan);
-    return totals.inFlight > limit && totals.demand > m_speed + chance;
+    return totals.late > std::max(kMinSigns, kLatePart * totals.finished) ||
+           (m_crowdedSince && now - *m_crowdedSince >= kChanceTime) ||
+           (totals.inFlight > limit && totals.demand > m_speed + chance);
 }
 
 void ServiceRoom::updateLimited(const Totals& totals, double limit, MonoTime now) {
@@ -256,12 +279,14 @@
 // The work in flight when the shares are used. The counts do not show yet what the last shares
 // admitted: without this the requests in flight would swing about the limit.
 double ServiceRoom::expectedInFlight(const Totals& totals, Millis age, MonoTime now) {
+    // Upstreams that turn requests away are full.
+    const bool isFull = totals.declined > kDeclinedPart * totals.arrived;
+    const double most = isFull ? m_speed : totals.demand;
     double work = totals.inFlight * totals.meanWork;
     MonoTime until = now;
     for (auto step = m_admitted.rbegin(); step != m_admitted.rend() && until > now - age; ++step) {
         const MonoTime from = std::max(step->from, now - age);
-        const double admitted =
-            std::max(0.0, std::min(step->work, totals.demand) - totals.declined * totals.meanWork);
+        const double admitted = std::min(step->work, most);
         work += (admitted - m_speed) * static_cast<double>(until - from) / 1000;
         until = from;
     }
