--- a/include/peers/RoomController.h
+++ b/include/peers/RoomController.h
@@ -78,6 +78,7 @@
     void updateBoxes();
     double slotsOf(const ServiceId& service, MonoTime now) const;
     void takeShares(const ServiceId& id, Service& service);
+    void forgetUnlisted();
     void observe(const ServiceId& id, Service& service, MonoTime now);
     void send(std::span<const OutgoingFrame> frames);
 
--- a/src/peers/RoomController.cpp
+++ b/src/peers/RoomController.cpp
@@ -96,14 +96,18 @@
     if (!service->exchangedAt) {
         m_exchange->setSlots(id, slotsOf(id, now));
     }
+    if (!m_exchange->isReportWanted(id, now)) {
+        m_exchange->setOwnCounts(id, service->gate.counts(now), now);
+    }
     service->exchangedAt = now;
     return service;
 }
 
 void RoomController::handleReport(const std::string& from, const wire::RoomReportT& report) {
     const MonoTime now = ReadClocks().mono;
-    if (followed(report.service, now) != nullptr) {
-        m_exchange->handleReport(from, report, now);
+    if (Service* service = followed(report.service, now)) {
+        send(m_exchange->handleReport(from, report, now));
+        takeShares(ServiceId{report.service}, *service);
     }
 }
 
@@ -133,6 +137,19 @@
     for (auto& [id, service] : m_services) {
         observe(id, service, now);
     }
+    forgetUnlisted();
+}
+
+// Services without upstreams have no room to divide; they must not use up the places of others.
+void RoomController::forgetUnlisted() {
+    std::erase_if(m_services, [&](const auto& entry) {
+        const auto& [id, service] = entry;
+        const bool isListed = m_knowledge.upstreams.table().count(id) > 0;
+        if (!isListed && !service.limited) {
+            m_exchange->forget(id);
+        }
+        return !isListed && !service.limited;
+    });
 }
 
 // Hands this box's counts to the exchange where they are due. Returns whether the service is part
--- a/tests/GatewaySettingsTest.cpp
+++ b/tests/GatewaySettingsTest.cpp
@@ -125,3 +125,14 @@
     CHECK(settings.retry.slack < 54.0);
     CHECK(settings.retry.minBoxes == 9);
 }
+
+TEST_CASE("Admission by room is on unless the settings switch it off") {
+    std::string problems;
+    CHECK(Read(kGood, problems).admitByRoom);
+    const GatewaySettings off = Read(kGood + "[admission]\nby_room = false\n", problems);
+    CHECK(problems.empty());
+    CHECK_FALSE(off.admitByRoom);
+    Read(kGood + "[admission]\nby_room = \"perhaps\"\n", problems);
+    CHECK(problems.find("admission.by_room: expected true or false, found string") !=
+          std::string::npos);
+}
