--- a/include/peers/RoomExchange.h
+++ b/include/peers/RoomExchange.h
@@ -22,9 +22,11 @@
 #include "include/peers/RoomReports.h"
 #include "include/peers/RoomRounds.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace onyx {
@@ -119,6 +121,8 @@
         std::optional<MonoTime> pressedAt;  // Last sign of a shortage, or limit because of it.
         MonoTime activeSince;
         uint64_t round = 0;
+        std::deque<std::pair<uint64_t, MonoTime>> sent;  // Recent rounds, and when they were sent.
+        double transit = 0;    // Mean milliseconds until the shares come back to this box.
         bool decides = false;  // Shares were worked out since the shortage began.
         ServiceRoom room;
     };
@@ -144,6 +148,7 @@
     void collect(Service& service, MonoTime now, Frames& frames);
     void hurry(Service& service, bool isSummed, MonoTime now, Frames& frames);
     void decide(Service& service, MonoTime now, Frames& frames);
+    static void NoteTransit(Service& service, const SharesMessage& message, MonoTime now);
     SharesMessage makeShares(Service& service, const RoomCounts& sum, MonoTime now) const;
     static bool IsActive(Service& service, const std::optional<RoomCounts>& sum, MonoTime now);
     std::vector<std::string> activeCollectors(const Service& service, MonoTime now) const;
--- a/src/peers/RoomExchange.cpp
+++ b/src/peers/RoomExchange.cpp
@@ -179,7 +179,10 @@
     message.report = true;
     if (root.decides) {
         message.round = ++root.round;
-        message.shares = root.room.update(sum, {service.slots, m_keepers.boxCount()}, now);
+        root.sent.emplace_back(message.round, now);
+        // The reports take as long as the shares.
+        const Millis age = kPeriod + 2 * static_cast<Millis>(root.transit);
+        message.shares = root.room.update(sum, {service.slots, m_keepers.boxCount(), age}, now);
     }
     if (message.rank == 0 && Limits(message.shares)) {
         root.pressedAt = now;
@@ -187,6 +190,18 @@
     return message;
 }
 
+// Measures how long shares take to the boxes, where this box gets its own as others do.
+void RoomExchange::NoteTransit(Service& service, const SharesMessage& message, MonoTime now) {
+    constexpr double kSmoothing = 0.25;
+    Root& root = service.root;
+    std::erase_if(root.sent, [&](const auto& sent) { return now - sent.second > kMaxRoomAge; });
+    const auto sent = std::find_if(root.sent.begin(), root.sent.end(),
+                                   [&](const auto& known) { return known.first == message.round; });
+    if (sent != root.sent.end() && service.keepers->asRoot == message.rank) {
+        root.transit += kSmoothing * (static_cast<double>(now - sent->second) - root.transit);
+    }
+}
+
 // Follows whether there is a shortage, or was one lately; forgets it afterwards. While enough is
 // refused, no box may see a sign of it; so the shares that are in force count as well.
 bool RoomExchange::IsActive(Service& service, const std::optional<RoomCounts>& sum, MonoTime now) {
@@ -274,6 +289,7 @@
     }
     const bool wasWanted = IsReportWanted(*service, now);
     if (!isFromRoot) {
+        NoteTransit(*service, *message, now);
         Take(*service, std::move(*message), *sender, now);
     } else if (keepers.asCollector) {
         message->rank = *sender;
--- a/tests/RoomExchangeTest.cpp
+++ b/tests/RoomExchangeTest.cpp
@@ -338,6 +338,33 @@
     }
 }
 
+// Guards against requests in flight that swing about the limit where datagrams are slow.
+TEST_CASE("A root accounts for the time that its shares take to the boxes") {
+    const Zone zone;
+    RoomCounts counts = MakeCounts(true);
+    counts.boxes = zone.boxes.size();
+    counts.inFlight = 80;
+    counts.classes = {{{1, 7}, 1000, 400}};
+    counts.priorities = {{1, 250, 400, 0, 400.0 * 60, 60}};
+    const auto lastFraction = [&](Millis delay) {
+        RoomExchange root = zone.make(zone.roots[0]);
+        double fraction = 1;
+        for (Millis ms = kStart; ms < kStart + 3000; ms += 200) {
+            root.handleReport(zone.collectors[0], MakeReport(counts, true), {ms});
+            const auto frames = root.makeDueFrames({ms});
+            REQUIRE(frames.size() == 1);
+            const auto body = Decode(frames[0].frame);
+            const auto shares = DecodeRoomShares(*body.AsRoomShares());
+            REQUIRE(shares->shares.classes.size() == 1);
+            fraction = shares->shares.classes[0].fraction;
+            root.handleShares(zone.collectors[0], MakeFrame(*shares, false), {ms + delay});
+        }
+        return fraction;
+    };
+    // The last shares admit less than is finished; after a longer time less is left to finish.
+    CHECK(lastFraction(150) > lastFraction(0));
+}
+
 TEST_CASE("The second root goes on while the shares of the first limit requests") {
     const Zone zone;
     RoomCounts calm;
