--- a/src/membership/RoomKeepers.cpp
+++ b/src/membership/RoomKeepers.cpp
@@ -118,6 +118,7 @@
 
 std::vector<std::string> RoomKeepers::rootsOf(uint64_t service, std::string_view zone) const {
     std::vector<const Zone*> zones;
+    zones.reserve(m_zones.size());
     for (const Zone& known : m_zones) {
         zones.push_back(&known);
     }
