--- a/tests/RoomFleetReplayTest.cpp
+++ b/tests/RoomFleetReplayTest.cpp
@@ -318,24 +318,28 @@
     std::string summary;
 };
 
+void CheckTurnedAway(const ReplayResult& result) {
+    CHECK(result.burst.turnedAway * 20 < result.burst.arrived);
+}
+
 void Check(const ReplayResult& result) {
     CHECK(result.refusedBefore == 0);
     CHECK(result.admitted >= 0.9);
     CHECK(result.admitted <= 1.1);
-    CHECK(result.burst.turnedAway * 20 < result.burst.arrived);
     CHECK(result.burst.jain(TeamsOf(1)) >= 0.95);
     CHECK(result.burst.jain(TeamsOf(5)) >= 0.95);
     CHECK(result.sentWhileCalm == 0);
 }
 
 constexpr size_t kFaults = 7;
+constexpr size_t kLateDatagrams = 1;  // Index of this fault.
 
 std::vector<Fault> MakeFaults() {
     std::vector<Fault> faults(kFaults);
     faults[0].name = "1 in 5 datagrams lost";
     faults[0].lost = 0.2;
-    faults[1].name = "datagrams late by up to 300 ms";
-    faults[1].maxDelay = 300;
+    faults[kLateDatagrams].name = "datagrams late by up to 300 ms";
+    faults[kLateDatagrams].maxDelay = 300;
     faults[2].name = "first root killed";
     faults[2].kills = [](const Fleet& fleet, size_t i) {
         return i == fleet.indexOf(fleet.root(0));
@@ -383,6 +387,7 @@
     const ReplayResult result(fleet, {}, kSettled);
     INFO(result.summary);
     Check(result);
+    CheckTurnedAway(result);
     CHECK(result.refusedAfter == 0);
 }
 
@@ -407,12 +412,31 @@
     const ReplayResult& result = Play(boxes, index);
     INFO(result.summary);
     Check(result);
+    if (index != kLateDatagrams) {
+        CheckTurnedAway(result);
+    }
+}
+
+TEST_CASE("Upstreams turn few requests away though datagrams are late", "[long]") {
+    const auto boxes = GENERATE(size_t{6}, size_t{83}, size_t{295}, size_t{985});
+    const ReplayResult& result = Play(boxes, kLateDatagrams);
+    INFO(result.summary);
+    CheckTurnedAway(result);
 }
 
-TEST_CASE("A fleet refuses nothing from a second after a burst on though something failed",
+TEST_CASE("Nothing is refused from a second after a burst on though datagrams or a keeper are lost",
           "[long]") {
     const auto boxes = GENERATE(size_t{6}, size_t{83}, size_t{295}, size_t{985});
-    const auto index = GENERATE(range(size_t{0}, kFaults));
+    const auto index = GENERATE(size_t{0}, size_t{2}, size_t{3});
+    const ReplayResult& result = Play(boxes, index);
+    INFO(result.summary);
+    CHECK(result.refusedAfter == 0);
+}
+
+TEST_CASE("Nothing is refused from a second after a burst on though boxes are late or cut off",
+          "[long]") {
+    const auto boxes = GENERATE(size_t{6}, size_t{83}, size_t{295}, size_t{985});
+    const auto index = GENERATE(size_t{kLateDatagrams}, size_t{4}, size_t{5}, size_t{6});
     const ReplayResult& result = Play(boxes, index);
     INFO(result.summary);
     CHECK(result.refusedAfter == 0);
