--- a/tests/RoomExchangeTest.cpp
+++ b/tests/RoomExchangeTest.cpp
@@ -406,6 +406,21 @@
     }
 }
 
+TEST_CASE("A root asks the second collector of a group from which it hears nothing") {
+    const Zone zone(83);
+    const auto groups = zone.keepers.allCollectors(zone.hash);
+    REQUIRE(groups.size() == 3);
+    RoomExchange root = zone.make(zone.roots[0]);
+    const auto sentTo = [&](Millis ms) {
+        root.handleReport(groups[0][0], MakeReport(MakeCounts(true), true), {ms});
+        const auto to = root.makeDueFrames({ms})[0].to;
+        return std::set(to.begin(), to.end());
+    };
+    CHECK(sentTo(kStart) == std::set{groups[0][0], groups[1][0], groups[2][0]});
+    CHECK(sentTo(kStart + kMaxRoomAge + 1) ==
+          std::set{groups[0][0], groups[1][0], groups[1][1], groups[2][0], groups[2][1]});
+}
+
 TEST_CASE("A root without recent sums, without slots or by its own list not one stays silent") {
     const Zone zone;
     RoomExchange root = zone.make(zone.roots[0]);
@@ -479,6 +494,10 @@
     exchange.handleShares(zone.collectors[1], MakeFrame(second, false), {kStart + 100});
     CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
     // Late ones do not replace newer ones.
+    SharesMessage old = MakeShares(6, 0.1);
+    old.age = 5000;
+    exchange.handleShares(zone.collectors[0], MakeFrame(old, false), {kStart + 150});
+    CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
     exchange.handleShares(zone.collectors[0], MakeFrame(MakeShares(4, 0.1), false), {kStart + 200});
     CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
 }
