--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -95,10 +95,10 @@
         MonoTime lastCut;
         MonoTime lastRaise;
     };
-    // Of a shortage, by an end at an upstream: slower than without a queue; late or turned away.
-    enum class Sign : uint8_t { kNone, kSlow, kBad };
+    // Of a shortage, by an end at an upstream; bad is late or turned away.
+    enum class Sign : uint8_t { kFast, kUsual, kSlow, kBad };
     struct RecentEnd {
-        Sign sign = Sign::kNone;
+        Sign sign = Sign::kFast;
         MonoTime at;
     };
 
@@ -136,6 +136,7 @@
     std::optional<MonoTime> m_lastDeclined;
     std::array<RecentEnd, kEnds> m_ends;
     size_t m_nextEnd = 0;
+    MonoTime m_lastUnfast;  // The last end that was not Sign::kFast.
     int64_t m_inFlight = 0;
 
     RefusedRequests m_refused;
--- a/src/admission/RoomGate.cpp
+++ b/src/admission/RoomGate.cpp
@@ -26,12 +26,15 @@
 constexpr Millis kRaiseInterval = 100;
 constexpr double kCut = 0.8;
 constexpr double kRaise = 0.01;
-constexpr double kFreeRaise = 0.04;    // After an answer that shows that there is no queue:
-constexpr double kFreeFraction = 0.4;  // part of the objective up to which it does.
+// An answer within this part of the objective shows that there is no queue. After a time in
+// milliseconds without others the room is raised faster.
+constexpr double kFastFraction = 0.4;
+constexpr Millis kFastTime = 1000;
+constexpr double kFastRaise = 0.25;
 constexpr double kMinListed = 1;  // Arrivals per second of a class that has a share of its own.
-constexpr double kMinOwnFraction = 0.02;  // Of the arrivals; finds out when there is room again.
-constexpr double kAmpleRoom = 1.5;        // Times the arrivals: nothing is limited any more.
-constexpr Millis kOwnPeriod = 200;        // In milliseconds, between two divisions of the room.
+constexpr double kMinOwnFraction = 0.1;  // Of the arrivals; finds out when there is room again.
+constexpr double kAmpleRoom = 1.5;       // Times the arrivals: nothing is limited any more.
+constexpr Millis kOwnPeriod = 200;       // In milliseconds, between two divisions of the room.
 // In milliseconds. Bounds of the time after which a refused caller may return.
 constexpr Millis kMinRetryAfter = 300;
 constexpr Millis kMaxRetryAfter = 10000;
@@ -39,12 +42,15 @@
 }  // namespace
 
 RoomGate::Sign RoomGate::SignOf(const RoomEnd& end) {
-    if (*end.firstByte > end.objective) {
+    const auto firstByte = static_cast<double>(*end.firstByte);
+    const auto objective = static_cast<double>(end.objective);
+    if (firstByte > objective) {
         return Sign::kBad;
     }
-    const bool isSlow =
-        static_cast<double>(*end.firstByte) > kSlowFraction * static_cast<double>(end.objective);
-    return isSlow ? Sign::kSlow : Sign::kNone;
+    if (firstByte > kSlowFraction * objective) {
+        return Sign::kSlow;
+    }
+    return firstByte > kFastFraction * objective ? Sign::kUsual : Sign::kFast;
 }
 
 RoomGate::RoomGate(uint64_t seed) : m_random(seed) {}
@@ -256,9 +262,8 @@
     if (end.declined || (end.firstByte && *end.firstByte > end.objective)) {
         cutOwn(now);
     } else if (m_own && end.firstByte && now - m_own->lastRaise >= kRaiseInterval) {
-        const bool isFree = static_cast<double>(*end.firstByte) <
-                            kFreeFraction * static_cast<double>(end.objective);
-        m_own->rate += (isFree ? kFreeRaise : kRaise) * arrivalRate(now);
+        const bool isFree = now - m_lastUnfast >= kFastTime;
+        m_own->rate += (isFree ? kFastRaise : kRaise) * arrivalRate(now);
         m_own->lastRaise = now;
     }
 }
@@ -283,6 +288,9 @@
 
 void RoomGate::noteSign(Sign sign, MonoTime now) {
     m_ends[m_nextEnd++ % kEnds] = {sign, now};
+    if (sign != Sign::kFast) {
+        m_lastUnfast = now;
+    }
 }
 
 // Returns how many of the last ends since `from` were at least that bad.
--- a/tests/RoomGateTest.cpp
+++ b/tests/RoomGateTest.cpp
@@ -260,6 +260,33 @@
     CHECK(Offer(gate, kTeam, 100, now, 2) == 100);
 }
 
+// Guards against a box with two requests a second that refuses some of them for ten seconds after
+// the shortage has ended.
+TEST_CASE("A box with few requests and without shares recovers within seconds") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    for (int i = 0; i < 60; ++i) {
+        if (Offer(gate, kTeam, 1, now, 150) == 1) {
+            gate.noteSent(now);
+            gate.noteEnded(Declined(), now);
+        }
+    }
+    REQUIRE(gate.isLimited(now));
+    const auto offer = [&](int count) {
+        int refused = 0;
+        for (int i = 0; i < count; ++i) {
+            const bool isGranted = Offer(gate, kTeam, 1, now, 500) == 1;
+            refused += isGranted ? 0 : 1;
+            if (isGranted) {
+                Serve(gate, 60, now);
+            }
+        }
+        return refused;
+    };
+    offer(12);
+    CHECK(offer(60) == 0);
+}
+
 TEST_CASE("Recent shares go before what the box saw itself") {
     RoomGate gate(5);
     MonoTime now{10000};
