--- a/tests/RoomExchangeTest.cpp
+++ b/tests/RoomExchangeTest.cpp
@@ -338,6 +338,33 @@
     }
 }
 
+// Guards against requests in flight that swing about the limit where datagrams are slow.
+TEST_CASE("A root accounts for the time that its shares take to the boxes") {
+    const Zone zone;
+    RoomCounts counts = MakeCounts(true);
+    counts.boxes = zone.boxes.size();
+    counts.inFlight = 80;
+    counts.classes = {{{1, 7}, 1000, 400}};
+    counts.priorities = {{1, 250, 400, 0, 400.0 * 60, 60}};
+    const auto lastFraction = [&](Millis delay) {
+        RoomExchange root = zone.make(zone.roots[0]);
+        double fraction = 1;
+        for (Millis ms = kStart; ms < kStart + 3000; ms += 200) {
+            root.handleReport(zone.collectors[0], MakeReport(counts, true), {ms});
+            const auto frames = root.makeDueFrames({ms});
+            REQUIRE(frames.size() == 1);
+            const auto body = Decode(frames[0].frame);
+            const auto shares = DecodeRoomShares(*body.AsRoomShares());
+            REQUIRE(shares->shares.classes.size() == 1);
+            fraction = shares->shares.classes[0].fraction;
+            root.handleShares(zone.collectors[0], MakeFrame(*shares, false), {ms + delay});
+        }
+        return fraction;
+    };
+    // The last shares admit less than is finished; after a longer time less is left to finish.
+    CHECK(lastFraction(150) > lastFraction(0));
+}
+
 TEST_CASE("The second root goes on while the shares of the first limit requests") {
     const Zone zone;
     RoomCounts calm;
@@ -379,6 +406,21 @@
     }
 }
 
+TEST_CASE("A root asks the second collector of a group from which it hears nothing") {
+    const Zone zone(83);
+    const auto groups = zone.keepers.allCollectors(zone.hash);
+    REQUIRE(groups.size() == 3);
+    RoomExchange root = zone.make(zone.roots[0]);
+    const auto sentTo = [&](Millis ms) {
+        root.handleReport(groups[0][0], MakeReport(MakeCounts(true), true), {ms});
+        const auto to = root.makeDueFrames({ms})[0].to;
+        return std::set(to.begin(), to.end());
+    };
+    CHECK(sentTo(kStart) == std::set{groups[0][0], groups[1][0], groups[2][0]});
+    CHECK(sentTo(kStart + kMaxRoomAge + 1) ==
+          std::set{groups[0][0], groups[1][0], groups[1][1], groups[2][0], groups[2][1]});
+}
+
 TEST_CASE("A root without recent sums, without slots or by its own list not one stays silent") {
     const Zone zone;
     RoomExchange root = zone.make(zone.roots[0]);
@@ -452,6 +494,10 @@
     exchange.handleShares(zone.collectors[1], MakeFrame(second, false), {kStart + 100});
     CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
     // Late ones do not replace newer ones.
+    SharesMessage old = MakeShares(6, 0.1);
+    old.age = 5000;
+    exchange.handleShares(zone.collectors[0], MakeFrame(old, false), {kStart + 150});
+    CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
     exchange.handleShares(zone.collectors[0], MakeFrame(MakeShares(4, 0.1), false), {kStart + 200});
     CHECK(exchange.sharesOf(kService)->shares.classes[0].fraction == Approx(0.25));
 }
