--- a/tests/RoomGateTest.cpp
+++ b/tests/RoomGateTest.cpp
@@ -220,6 +220,25 @@
     CHECK(Offer(gate, kTeam, 1000, now, 2) == 1000);
 }
 
+// Guards against refusals with room for all: one upstream that fails or is slow looks like a
+// shortage to a box, until the counts of all boxes tell.
+TEST_CASE("A box waits for the shares of the site before it decides by itself") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    Offer(gate, kTeam, 1000, now, 2);
+    for (int i = 0; i < 40; ++i) {
+        gate.noteSent(now);
+        gate.noteEnded(Declined(), now);
+        CHECK(Offer(gate, kTeam, 10, now, 2) == 10);
+    }
+    gate.setShares({}, now);
+    for (int i = 0; i < 90; ++i) {
+        gate.noteSent(now);
+        gate.noteEnded(Declined(), now);
+        CHECK(Offer(gate, kTeam, 10, now, 2) == 10);
+    }
+}
+
 TEST_CASE("A box without shares cuts what it sends while upstreams turn requests away") {
     RoomGate gate(5);
     MonoTime now{10000};
--- a/tests/ServiceRoomTest.cpp
+++ b/tests/ServiceRoomTest.cpp
@@ -48,6 +48,16 @@
     }
 }
 
+// Guards against refusals while slots are free: some upstreams turn requests away for other reasons.
+TEST_CASE("Requests that are turned away while slots are free are no shortage") {
+    ServiceRoom room;
+    RoomCounts counts = Counts(200, 140, 60, 10);
+    counts.declined = 60;
+    for (Millis t = 1000; t < 9000; t += 200) {
+        CHECK_FALSE(room.update(counts, kSupply, {t}).limited);
+    }
+}
+
 TEST_CASE("A service without slots limits nothing: no upstream would be chosen anyway") {
     ServiceRoom room;
     CHECK_FALSE(room.update(Counts(900, 0, 0, 10), {0, 83, 200}, {1000}).limited);
