--- a/src/peers/RoomController.cpp
+++ b/src/peers/RoomController.cpp
@@ -37,6 +37,8 @@
         return;
     }
     m_exchange.emplace(m_mesh.address(), m_zone);
+    m_exchange->setBoxes(m_mesh.boxes());  // A box without others is its own collector and root.
+    m_directoryVersion = m_mesh.boxesVersion();
     m_datagrams.setHandler<wire::RoomReportT>(
         [this](const std::string& from, const wire::RoomReportT& report) {
             handleReport(from, report);
