--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -118,8 +118,11 @@
 }
 
 Task<Result<bool>> StoreWatch::makeCall() {
-    if (std::exchange(m_copyWanted, false)) {
-        co_return co_await list(ListSource::kCopy);
+    if (m_copyWanted) {
+        Result<bool> done = co_await list(ListSource::kCopy);
+        // A copy that was asked for meanwhile is the one that has been read.
+        m_copyWanted = false;
+        co_return done;
     }
     if (!m_listed) {
         co_return co_await list(ListSource::kStore);
