--- a/include/gateway/RequestContext.h
+++ b/include/gateway/RequestContext.h
@@ -52,8 +52,11 @@
 inline AdmissionState KnowledgeOf(const ConfigurationState& configuration,
                                   const UpstreamList& upstreams, const Lifecycle& lifecycle,
                                   MonoTime now) {
-    return {lifecycle.refusing(), configuration.catalog(), configuration.age(now),
-            upstreams.age(now).has_value(), configuration.superseded()};
+    const auto& catalog = configuration.catalog();
+    const bool isListed =
+        catalog && upstreams.age(now).has_value() && upstreams.covers(catalog->services());
+    return {lifecycle.refusing(), catalog, configuration.age(now), isListed,
+            configuration.superseded()};
 }
 
 }  // namespace onyx
--- a/include/routing/Catalog.h
+++ b/include/routing/Catalog.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -107,6 +108,8 @@
     bool hasTeams() const { return m_parts.hasTeams; }
     const CallerLimits& limits() const { return m_parts.limits; }
     size_t routeCount() const { return m_parts.routes.size(); }
+    // Returns the properties of all services. Preconditions: none.
+    std::span<const ServiceSpec> services() const { return m_parts.services; }
 
 private:
     explicit Catalog(CatalogParts parts) : m_parts(std::move(parts)) {}
--- a/include/routing/UpstreamTable.h
+++ b/include/routing/UpstreamTable.h
@@ -71,6 +71,14 @@
     // Preconditions: none.
     void remove(const std::string& id, uint64_t revision);
 
+    // Records that the upstream `id`, which the table does not have, was removed at `revision`.
+    // Preconditions: none.
+    void recordRemoval(const std::string& id, uint64_t revision);
+
+    // Drops the recorded changes, so that changesSince() returns the whole list for all revisions
+    // before the current one. Preconditions: none.
+    void dropChanges();
+
     // Marks the table as complete up to `revision`. A lower revision than the current one means
     // that the store was restored, which invalidates all recorded changes. Preconditions: none.
     void setRevision(uint64_t revision);
@@ -79,6 +87,13 @@
     // Preconditions: none.
     uint64_t revision() const { return m_revision; }
 
+    // Returns the oldest revision since which all changes are recorded. Preconditions: none.
+    uint64_t oldestKnownRevision() const { return m_oldestKnownRevision; }
+
+    // Returns whether the upstream `id` was removed after `revision`.
+    // Preconditions: revision >= oldestKnownRevision().
+    bool wasRemovedSince(const std::string& id, uint64_t revision) const;
+
     // Returns the changes since `revision`, or the whole list if `revision` is older than the
     // recorded changes. Preconditions: none.
     UpstreamChanges changesSince(uint64_t revision) const;
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -60,7 +60,10 @@
 // What the store answered: a list, or changes of one.
 struct StoreUpdate {
     std::vector<StoredObject> objects;
-    bool whole = false;   // The objects are all that there are, not changes.
+    bool whole = false;  // The objects are all that there are, not changes.
+    // The objects are the first page of a list whose rest is left to other boxes. Updates with the
+    // changes since its revision follow.
+    bool isFirstPart = false;
     bool isCopy = false;  // It may be behind the store.
     // Everything acknowledged before this is covered. Nothing: it was read from a copy, or there
     // may be more changes.
@@ -77,8 +80,9 @@
         std::function<void(const std::string&)> onReachable;
         std::function<void(const StoreCall&)> onCall;  // A call has ended.
         std::function<bool()> mayCall;  // Whether the store may be called now; see StoreCallPolicy.
-        // Whether the rest of a copy, whose first page was read, is left to other boxes: nothing is
-        // reported then, and the next call is made once it is allowed. Asked after the first page.
+        // Whether the rest of a copy, whose first page was read, is left to other boxes: the page
+        // is reported then, and the next call is made once it is allowed. Asked after the first
+        // page.
         std::function<bool()> leavesRestToPeers;
         // The store's revision up to which this box knows the objects, whoever told it; 0: unknown.
         std::function<uint64_t()> knownRevision;
--- a/src/gateway/PeerSync.cpp
+++ b/src/gateway/PeerSync.cpp
@@ -59,9 +59,11 @@
     return m_firstList.isWaiting(m_mesh.links(), m_upstreams.hasList(), now);
 }
 
-// With a list, its changes are watched or followed as usual; without one it is read after all.
+// With a list, its changes are watched or followed as usual; without one it is read after all, and
+// once more if that fails.
 void PeerSync::endWaitForList(MonoTime now) {
-    if (!m_waitedForList || waitsForList(now)) {
+    const bool lacksRest = m_upstreams.isPartial() && !m_firstList.isReadingOn(false, now);
+    if (waitsForList(now) || (!m_waitedForList && !lacksRest)) {
         return;
     }
     m_waitedForList = false;
@@ -125,7 +127,8 @@
 
 bool PeerSync::mayCallStore(ObjectKind kind) {
     const MonoTime now = ReadClocks().mono;
-    if (kind == ObjectKind::kUpstreams && waitsForList(now)) {
+    // While the box waits for a list, it has only the changes of a partial one to read.
+    if (kind == ObjectKind::kUpstreams && waitsForList(now) && !m_upstreams.isPartial()) {
         return false;
     }
     const auto missing = m_repliesWithoutOrders.find(kind);
@@ -166,7 +169,7 @@
 void PeerSync::queryWatcher(MonoTime now) {
     wire::KnowledgeAskT ask = makeQuery(m_peerQueries.ask(now));
     ask.follows = true;
-    ask.want_upstreams = m_upstreams.hasList();
+    ask.want_upstreams = m_upstreams.hasList() || m_upstreams.isPartial();
     m_mesh.send(m_watcher, ask);
 }
 
@@ -188,8 +191,11 @@
     reply.watches = m_storeCall.calls;
     reply.age_ms = m_configuration.age(now).value_or(-1);
     reply.revision = m_configuration.version();
-    reply.upstreams_age_ms = m_upstreams.age(now).value_or(-1);
-    reply.upstreams_revision = m_upstreams.table().revision();
+    if (m_upstreams.hasChangesSince(ask.upstreams_revision)) {
+        reply.upstreams_age_ms = m_upstreams.age(now).value_or(-1);
+        reply.upstreams_revision = m_upstreams.table().revision();
+        reply.upstreams_partial = m_upstreams.isPartial();
+    }
     if (!ask.no_content && reply.revision > ask.have) {
         reply.content = m_configuration.text();
     }
@@ -278,7 +284,9 @@
     }
     m_refreshPlanner.noteReply(from, peerAge, ages(now).older(), now);
     if (!m_storeCall.calls || isOverdue(now) || waitsForList(now)) {
-        catchUpUpstreams(from, reply.upstreams_revision, requestedChanges);
+        if (!reply.upstreams_partial || m_upstreams.hasList()) {
+            catchUpUpstreams(from, reply.upstreams_revision, requestedChanges);
+        }
         catchUpConfiguration(from, reply.revision);
     }
 }
@@ -302,6 +310,8 @@
     const UpstreamTable& table = m_upstreams.table();
     if (update.upstreams && update.upstreams->revision >= table.revision()) {
         m_upstreams.apply(*update.upstreams, "peer", ReadClocks().mono);
+    } else if (update.upstreams) {
+        m_upstreams.complete(*update.upstreams, "peer", ReadClocks().mono);
     }
     if (update.upstreamsAsOf && table.revision() >= update.upstreamsRevision) {
         m_upstreams.confirm(*update.upstreamsAsOf);
@@ -325,7 +335,8 @@
 // started does as FirstListPolicy says.
 void PeerSync::catchUpUpstreams(const std::string& from, uint64_t revision, bool requestedChanges) {
     const MonoTime now = ReadClocks().mono;
-    const bool isBehind = revision > m_upstreams.table().revision();
+    const bool isBehind =
+        m_upstreams.hasList() ? revision > m_upstreams.table().revision() : revision > 0;
     if (!isBehind || m_firstList.isReadingOn(m_upstreams.hasList(), now)) {
         return;
     }
@@ -370,6 +381,9 @@
     wire::KnowledgeAskT ask = makeQuery(*round);
     ask.no_content = changesOnly;
     ask.want_upstreams = true;
+    if (!changesOnly && m_upstreams.isPartial()) {
+        ask.upstreams_revision = 0;
+    }
     m_mesh.send(from, ask);
 }
 
--- a/src/gateway/RolloutController.cpp
+++ b/src/gateway/RolloutController.cpp
@@ -95,7 +95,8 @@
                                                        RandomPart(m_random), 0, now));
         }
     }
-    if (m_countedRevision == m_upstreams.table().revision()) {
+    // A part of the list does not show whether a version has upstreams left.
+    if (!m_upstreams.hasList() || m_countedRevision == m_upstreams.table().revision()) {
         return;
     }
     m_countedRevision = m_upstreams.table().revision();
--- a/src/gateway/StoreController.cpp
+++ b/src/gateway/StoreController.cpp
@@ -190,10 +190,12 @@
 void StoreController::applyUpstreams(const StoreUpdate& update) {
     // Upstreams that came from another box may be newer than an answer that was in flight and newer
     // than any copy. A whole list from the store itself applies even if its revision is lower,
-    // because that means that the store was restored.
+    // because that means that the store was restored. Any other whole list completes a partial one.
     const bool authoritative = update.whole && update.asOf;
     if (authoritative || update.revision >= m_upstreamList.table().revision()) {
         m_upstreamList.apply(makeUpstreamChanges(update), "store", ReadClocks().mono);
+    } else if (update.whole) {
+        m_upstreamList.complete(makeUpstreamChanges(update), "store", ReadClocks().mono);
     }
     if (update.asOf) {
         m_upstreamList.confirm(*update.asOf);
--- a/src/gateway/StreamController.cpp
+++ b/src/gateway/StreamController.cpp
@@ -52,7 +52,9 @@
 Task<> StreamController::run() {
     while (true) {
         const MonoTime now = ReadClocks().mono;
-        m_exchange->versions().update(m_upstreams.table(), m_upstreams.age(now), now);
+        // A part of the list does not show all versions of a service.
+        const auto age = m_upstreams.hasList() ? m_upstreams.age(now) : std::nullopt;
+        m_exchange->versions().update(m_upstreams.table(), age, now);
         if (m_directoryVersion != m_mesh.boxesVersion()) {
             m_directoryVersion = m_mesh.boxesVersion();
             m_exchange->setBoxes(m_mesh.boxes());
--- a/src/gateway/UpstreamList.cpp
+++ b/src/gateway/UpstreamList.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <set>
+#include <utility>
 
 namespace onyx {
 
@@ -57,15 +58,48 @@
     for (const Upstream& upstream : changes.changed) {
         applyEntry(upstream, changes.revision, source, now);
     }
+    const bool skipsChanges = isPartial() && changes.revision > m_table.revision();
     m_table.setRevision(changes.revision);
-    if (!m_hasList) {
-        m_hasList = true;
+    if (changes.whole) {
+        if (skipsChanges) {
+            // Upstreams that the partial list lacked may have been removed since its last change.
+            m_table.dropChanges();
+        }
+        noteWhole(source);
+    }
+}
+
+// Adds the upstreams that the partial list lacks. Those that have changed since the older list was
+// valid are known already, because the partial list has all changes since its first page.
+void UpstreamList::complete(const UpstreamChanges& list, std::string_view source, MonoTime now) {
+    if (!isPartial() || !list.whole || list.revision < m_table.oldestKnownRevision()) {
+        return;
+    }
+    for (const Upstream& upstream : list.changed) {
+        const bool isKnown = m_table.find(upstream.id) != nullptr;
+        if (!isKnown && !m_table.wasRemovedSince(upstream.id, list.revision)) {
+            applyEntry(upstream, list.revision, source, now);
+        }
+    }
+    noteWhole(source);
+}
+
+void UpstreamList::noteWhole(std::string_view source) {
+    if (!std::exchange(m_hasList, true)) {
         logEvent(Event::kUpstreamsListed, {{"count", std::to_string(m_table.all().size())},
-                                           {"revision", std::to_string(changes.revision)},
+                                           {"revision", std::to_string(m_table.revision())},
                                            {"source", std::string(source)}});
     }
 }
 
+bool UpstreamList::covers(std::span<const ServiceSpec> services) const {
+    return m_hasList ||
+           (!services.empty() &&
+            std::all_of(services.begin(), services.end(), [this](const ServiceSpec& service) {
+                return m_table.count(service.name) > 0;
+            }));
+}
+
 bool UpstreamList::reportsStartTimes() const {
     const auto& all = m_table.all();
     return std::any_of(all.begin(), all.end(),
@@ -144,6 +178,10 @@
 
 void UpstreamList::remove(const std::string& id, uint64_t revision, std::string_view source) {
     if (m_table.find(id) == nullptr) {
+        // It may be on a page of the list that this box has not read.
+        if (isPartial()) {
+            m_table.recordRemoval(id, revision);
+        }
         return;
     }
     m_table.remove(id, revision);
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -100,6 +100,15 @@
         m_byNumber.erase(numbered);
     }
     m_entries.erase(it);
+    recordRemoval(id, revision);
+}
+
+void UpstreamTable::dropChanges() {
+    m_oldestKnownRevision = m_revision;
+    m_removed.clear();
+}
+
+void UpstreamTable::recordRemoval(const std::string& id, uint64_t revision) {
     m_removed.push_back({id, revision});
     if (m_removed.size() > kMaxRemoved) {
         m_oldestKnownRevision = std::max(m_oldestKnownRevision, m_removed.front().at);
@@ -122,6 +131,12 @@
     m_revision = revision;
 }
 
+bool UpstreamTable::wasRemovedSince(const std::string& id, uint64_t revision) const {
+    return std::any_of(m_removed.begin(), m_removed.end(), [&](const Removed& removed) {
+        return removed.id == id && removed.at > revision;
+    });
+}
+
 UpstreamChanges UpstreamTable::changesSince(uint64_t revision) const {
     UpstreamChanges changes;
     changes.revision = m_revision;
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -179,7 +179,6 @@
 
 Task<Result<bool>> StoreWatch::list(ListSource source) {
     StoreUpdate update;
-    update.whole = true;
     update.isCopy = source == ListSource::kCopy;
     if (!update.isCopy) {
         update.asOf = ReadClocks().mono;
@@ -201,10 +200,31 @@
             after = object.name;
             update.objects.push_back(std::move(object));
         }
-        if (isFirst && more && source == ListSource::kCopy && m_sink.leavesRestToPeers()) {
+        const bool isLong = isFirst && more && source == ListSource::kCopy &&
+                            m_settings.kind == ObjectKind::kUpstreams;
+        if (!isLong) {
+            continue;
+        }
+        const bool isKnown = m_sink.knownRevision() > 0;
+        const bool leavesRest = m_sink.leavesRestToPeers();
+        if (isKnown) {
+            continue;
+        }
+        StoreUpdate firstPart = update;
+        firstPart.isFirstPart = true;
+        m_listed = true;
+        m_cause = StoreCallCause::kConfirm;
+        report(std::move(firstPart));
+        if (leavesRest) {
             co_return true;
         }
+        // Confirms the first page before the rest is read, which takes seconds for a long list.
+        const Result<bool> confirmed = co_await watch();
+        if (confirmed.has_error()) {
+            co_return confirmed.error();
+        }
     }
+    update.whole = true;
     m_listed = true;
     m_cause = source == ListSource::kCopy ? StoreCallCause::kConfirm : StoreCallCause::kChanged;
     report(std::move(update));
--- a/tests/UpstreamListTest.cpp
+++ b/tests/UpstreamListTest.cpp
@@ -177,3 +177,82 @@
     CHECK(applyColdLeft(9, 0, 12000) == 1);
     CHECK(list.coldLeft("a", {12000}) == 0);
 }
+
+namespace {
+
+UpstreamChanges FirstPage(uint64_t revision, const std::vector<std::string>& ids) {
+    UpstreamChanges page = Whole(revision, ids);
+    page.whole = false;
+    return page;
+}
+
+}  // namespace
+
+// Guards against a box that refuses every request until it has the last page of a long list.
+TEST_CASE("A first page serves once it has upstreams of each service") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    const std::vector<ServiceSpec> listed{{ServiceId("s")}};
+    const std::vector<ServiceSpec> more{{ServiceId("s")}, {ServiceId("t")}};
+    CHECK_FALSE(list.covers(listed));
+    list.apply(FirstPage(3, {"a", "b"}), "store", {100});
+    CHECK(list.isPartial());
+    CHECK_FALSE(list.hasList());
+    CHECK(list.covers(listed));
+    CHECK_FALSE(list.covers(more));
+    CHECK_FALSE(list.covers({}));
+    list.apply(Whole(4, {"a", "b", "c"}), "peer", {200});
+    CHECK_FALSE(list.isPartial());
+    CHECK(list.covers(more));
+}
+
+// Guards against a partial list that is sent on as a whole one, or as changes that it lacks.
+TEST_CASE("A partial list has the changes since its first page, and none from before") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    CHECK_FALSE(list.hasChangesSince(0));
+    list.apply(FirstPage(3, {"a"}), "store", {100});
+    CHECK_FALSE(list.hasChangesSince(0));
+    CHECK_FALSE(list.hasChangesSince(2));
+    CHECK(list.hasChangesSince(3));
+    list.complete(Whole(3, {"a", "b"}), "peer", {200});
+    CHECK(list.hasChangesSince(0));
+}
+
+// Guards against upstreams that come back with an older list after their removal.
+TEST_CASE("An older whole list completes a partial one and undoes none of its changes") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    list.apply(FirstPage(3, {"a", "b", "c"}), "store", {100});
+    UpstreamChanges changes = FirstPage(8, {"a", "x"});
+    changes.changed[0].draining = true;
+    changes.removed = {"b", "u"};
+    list.apply(changes, "store", {200});
+    list.complete(Whole(2, {"a", "b", "c", "u", "y"}), "store", {300});
+    CHECK(list.isPartial());
+    list.complete(Whole(5, {"a", "b", "c", "u", "y", "z"}), "store", {300});
+    CHECK(list.hasList());
+    CHECK(list.table().revision() == 8);
+    CHECK(list.table().find("a")->draining);
+    CHECK(list.table().find("b") == nullptr);
+    CHECK(list.table().find("u") == nullptr);
+    CHECK(list.table().all().size() == 5);
+    const UpstreamChanges since = list.table().changesSince(5);
+    CHECK_FALSE(since.whole);
+    CHECK(since.removed == std::vector<std::string>{"b", "u"});
+}
+
+// Guards against an upstream that stays listed at other boxes: this box never knew of it, so it
+// cannot tell them that it is gone.
+TEST_CASE("A newer whole list after a partial one comes with no changes from before") {
+    asio::io_context io;
+    UpstreamRecords records(io.get_executor(), HealthSettings());
+    UpstreamList list(records);
+    list.apply(FirstPage(3, {"a"}), "store", {100});
+    list.apply(Whole(6, {"a", "c"}), "peer", {200});
+    CHECK(list.table().changesSince(3).whole);
+    CHECK_FALSE(list.table().changesSince(6).whole);
+}
