--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -60,10 +60,9 @@
 // What the store answered: a list, or changes of one.
 struct StoreUpdate {
     std::vector<StoredObject> objects;
-    bool whole = false;  // The objects are all that there are, not changes.
-    // The objects are the first page of a list whose rest is left to other boxes. Updates with the
-    // changes since its revision follow.
-    bool isFirstPart = false;
+    // The objects are all that there are. Otherwise they are changes, or the first page of a long
+    // list, which the changes since its revision follow.
+    bool whole = false;
     bool isCopy = false;  // It may be behind the store.
     // Everything acknowledged before this is covered. Nothing: it was read from a copy, or there
     // may be more changes.
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -210,11 +210,9 @@
         if (isKnown) {
             continue;
         }
-        StoreUpdate firstPart = update;
-        firstPart.isFirstPart = true;
         m_listed = true;
         m_cause = StoreCallCause::kConfirm;
-        report(std::move(firstPart));
+        report(update);
         if (leavesRest) {
             co_return true;
         }
