--- a/include/admission/FairShares.h
+++ b/include/admission/FairShares.h
@@ -16,7 +16,7 @@
 
 namespace onyx {
 
-// The demand of one class. Team 0 stands for `teams` teams that are not listed.
+// The demand of one class. Team 0 stands for the teams that are not listed.
 struct ClassDemand {
     DemandClass of;
     double demand = 0;  // Slots that its requests would keep busy.
--- a/include/admission/RoomGate.h
+++ b/include/admission/RoomGate.h
@@ -40,6 +40,7 @@
     Millis took = 0;                  // Its time at the upstream.
     std::optional<Millis> firstByte;  // From its arrival at this box; nothing: no answer.
     bool declined = false;            // The upstream turned it away for want of room.
+    bool unanswered = false;          // No answer within the objective, and then none any more.
 };
 
 // One service at one box. Not thread safe: one task owns it.
@@ -94,6 +95,7 @@
         double rate = 0;  // Requests per second.
         MonoTime lastCut;
         MonoTime lastRaise;
+        bool isCut = false;  // By what this box saw, not by the last shares of the site.
     };
     // Of a shortage, by an end at an upstream; bad is late or turned away.
     enum class Sign : uint8_t { kFast, kUsual, kSlow, kBad };
--- a/src/admission/RoomGate.cpp
+++ b/src/admission/RoomGate.cpp
@@ -108,6 +108,8 @@
         state.busyMs.add(static_cast<double>(end.took), now);
         state.firstByteMs.add(static_cast<double>(*end.firstByte), now);
         noteSign(SignOf(end), now);
+    } else if (end.unanswered) {
+        noteSign(Sign::kBad, now);
     }
     adjustOwn(end, now);
 }
@@ -200,7 +202,8 @@
     if (m_sharesAsOf) {
         m_sharesAsOf.reset();
         if (m_shares.limited) {
-            m_own = OwnRoom{m_admittedLong.perSecond(now), now, now};
+            const double least = kMinOwnFraction * arrivalRate(now);
+            m_own = OwnRoom{std::max(least, m_admittedLong.perSecond(now)), now, now, false};
         }
         m_ownSharesAt.reset();
     }
@@ -230,8 +233,9 @@
         }
     }
     const double refused = std::max(0.0, arrived - m_own->rate);
-    shares.retryAfter = std::clamp(static_cast<Millis>(1000 * refused / m_own->rate),
-                                   kMinRetryAfter, kMaxRetryAfter);
+    shares.retryAfter = static_cast<Millis>(std::clamp(1000 * refused / m_own->rate,
+                                                       static_cast<double>(kMinRetryAfter),
+                                                       static_cast<double>(kMaxRetryAfter)));
     return shares;
 }
 
@@ -261,7 +265,7 @@
         return;
     }
     refreshOwn(now);
-    if (end.declined || (end.firstByte && *end.firstByte > end.objective)) {
+    if (end.declined || end.unanswered || (end.firstByte && *end.firstByte > end.objective)) {
         cutOwn(now);
     } else if (m_own && end.firstByte && now - m_own->lastRaise >= kRaiseInterval) {
         const bool isFree = now - m_lastUnfast >= kFastTime;
@@ -279,10 +283,10 @@
             static_cast<double>(signs) < kOwnSignPart * static_cast<double>(ends)) {
             return;
         }
-        m_own = OwnRoom{std::max(least, kCut * m_admittedLong.perSecond(now)), now, now};
+        m_own = OwnRoom{std::max(least, kCut * m_admittedLong.perSecond(now)), now, now, true};
         m_ownSharesAt.reset();
     } else if (now - m_own->lastCut >= kCutInterval) {
-        m_own = OwnRoom{std::max(least, kCut * m_own->rate), now, now};
+        m_own = OwnRoom{std::max(least, kCut * m_own->rate), now, now, true};
     }
 }
 
@@ -305,7 +309,9 @@
 }
 
 bool RoomGate::isPressed(MonoTime now) const {
-    return (m_lastDeclined && now - *m_lastDeclined <= kPressedTime) ||
+    // A box that limits by itself asks for the shares of the site.
+    return (m_own && m_own->isCut && now - m_own->lastCut <= kPressedTime) ||
+           (m_lastDeclined && now - *m_lastDeclined <= kPressedTime) ||
            countSigns(Sign::kSlow, now - kPressedTime) >= kMinSigns;
 }
 
--- a/src/admission/ServiceRoom.cpp
+++ b/src/admission/ServiceRoom.cpp
@@ -25,6 +25,8 @@
 // and the least number of them per second.
 constexpr double kDeclinedPart = 0.01;
 constexpr double kLatePart = 0.05;
+// The part of the arrivals that upstreams turn away when they have less room than they list.
+constexpr double kMostDeclinedPart = 0.3;
 constexpr double kMinSigns = 3;
 // Standard deviations by which requests in flight or the demand of a calm service may exceed the
 // room by chance, and the time in milliseconds for which they do not.
@@ -228,8 +230,9 @@
         m_crowdedSince.reset();
     }
     if (totals.declined > std::max(kMinSigns, kDeclinedPart * totals.arrived)) {
-        // With free slots, upstreams turn requests away for other reasons.
-        return totals.inFlight >= kFreeFraction * totals.slots;
+        // With free slots, some upstreams turn requests away for other reasons.
+        return totals.inFlight >= kFreeFraction * totals.slots ||
+               totals.declined > kMostDeclinedPart * totals.arrived;
     }
     // A queue that formed by chance ends by itself.
     if (m_meanDemand < kHighDemand * m_speed || totals.inFlight < totals.slots) {
@@ -320,10 +323,23 @@
         sum += mean[entry.of];
     }
     m_demand = std::move(mean);
+    // Teams that are counted together ask for no more each than the least one that is listed.
+    std::map<int, double> least;
+    for (const auto& [of, demand] : m_demand) {
+        if (of.team != 0 && demand > 0) {
+            double& known = least.try_emplace(of.priority, demand).first->second;
+            known = std::min(known, demand);
+        }
+    }
+    const bool isBounded =
+        counts.classes.size() + RoomCounts::kMaxPriorities > RoomCounts::kMaxClasses;
     std::vector<ClassDemand> demands;
     for (const ClassCounts& entry : counts.classes) {
         const double part = sum > 0 ? m_demand[entry.of] / sum : 0;
-        demands.push_back({entry.of, part * totals.demand, 1});
+        const auto listed = least.find(entry.of.priority);
+        const bool isMerged = isBounded && entry.of.team == 0 && listed != least.end();
+        const double teams = isMerged ? std::max(1.0, m_demand[entry.of] / listed->second) : 1;
+        demands.push_back({entry.of, part * totals.demand, teams});
     }
     return demands;
 }
--- a/src/peers/RoomController.cpp
+++ b/src/peers/RoomController.cpp
@@ -190,6 +190,9 @@
 // Upstreams that are cold take a few requests only, and have no part in the room.
 double RoomController::slotsOf(const ServiceId& service, MonoTime now) const {
     const auto& [upstreams, records, evacuations] = m_knowledge;
+    if (upstreams.isPartial()) {
+        return 0;  // The room of a part of the list is not that of the service.
+    }
     const auto listAge = upstreams.age(now);
     double slots = 0;
     upstreams.table().visitRing(service, 0, [&](const UpstreamTable::Entry& entry) {
--- a/src/peers/RoomExchange.cpp
+++ b/src/peers/RoomExchange.cpp
@@ -179,6 +179,7 @@
     message.report = true;
     if (root.decides) {
         message.round = ++root.round;
+        std::erase_if(root.sent, [&](const auto& sent) { return now - sent.second > kMaxRoomAge; });
         root.sent.emplace_back(message.round, now);
         // The reports take as long as the shares.
         const Millis age = kPeriod + 2 * static_cast<Millis>(root.transit);
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -216,8 +216,10 @@
     // A failure that is answered has kept a slot busy like an answer.
     const bool failed = report.end == AttemptEnd::kFailed && !m_relay.headSent();
     if (const auto firstByte = failed ? std::optional(report.took) : report.firstByte) {
-        end.firstByte = m_start + *firstByte - m_request.arrived;
+        // What an earlier attempt took says nothing of this upstream.
+        end.firstByte = (m_request.first ? m_start - m_request.arrived : 0) + *firstByte;
     }
+    end.unanswered = report.timedOut && !end.firstByte && now - m_request.arrived > end.objective;
     end.declined =
         report.end == AttemptEnd::kDeclined && !facts.leaving && facts.coldLeft.value_or(0) == 0;
     m_context.room.noteEnded(admission.service, end, now);
--- a/src/request/RoomStep.cpp
+++ b/src/request/RoomStep.cpp
@@ -6,7 +6,10 @@
     const Admission& admission = m_request.admission;
     const DemandClass of = DemandClassOf(admission.priority, admission.team.value);
     const MonoTime now = ReadClocks().mono;
-    if (m_request.fromBox || m_stream.origin()) {
+    if (m_request.fromBox) {
+        return std::nullopt;  // Counted by the box that relays it.
+    }
+    if (m_stream.origin()) {
         m_context.room.noteExempt(admission.service, of, now);
         return std::nullopt;
     }
--- a/tests/RoomGateTest.cpp
+++ b/tests/RoomGateTest.cpp
@@ -235,6 +235,51 @@
     }
 }
 
+// Guards against a box that refuses everything for good: it had admitted nothing when the shares of
+// the site became too old, so that no answer could raise its room.
+TEST_CASE("A box that admitted nothing by old shares finds out when there is room") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    for (int i = 0; i < 50; ++i) {
+        gate.setShares(Limited(0), now);
+        CHECK(Offer(gate, kTeam, 10, now, 10) == 0);
+    }
+    now = now + RoomGate::kMaxSharesAge + 1;
+    int granted = 0;
+    for (int i = 0; i < 2000; ++i) {
+        if (Offer(gate, kTeam, 1, now, 10) == 1) {
+            ++granted;
+            Serve(gate, 60, now);
+        }
+    }
+    CHECK(granted > 1000);
+}
+
+// Guards against refusals that no box knows of: with few requests the signs that made a box refuse
+// were too old for a report.
+TEST_CASE("A box that refuses by itself reports a shortage") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    for (int i = 0; i < 8; ++i) {
+        Offer(gate, kTeam, 1, now, 2500);
+        Serve(gate, 2 * kObjective, now);
+        CHECK((!gate.isLimited(now) || gate.counts(now).pressed));
+    }
+    CHECK(gate.isLimited(now));
+}
+
+TEST_CASE("Requests that are not answered are signs of a shortage") {
+    RoomGate gate(5);
+    MonoTime now{10000};
+    Offer(gate, kTeam, 100, now, 2);
+    for (int i = 0; i < 2; ++i) {
+        gate.noteSent(now);
+        gate.noteEnded({5, kObjective, 1000, std::nullopt, false, true}, now);
+    }
+    CHECK(gate.counts(now).pressed);
+    CHECK(gate.counts(now).priorities.empty());
+}
+
 TEST_CASE("A box without shares cuts what it sends while upstreams turn requests away") {
     RoomGate gate(5);
     MonoTime now{10000};
--- a/tests/ServiceRoomTest.cpp
+++ b/tests/ServiceRoomTest.cpp
@@ -59,6 +59,35 @@
     }
 }
 
+// Guards against a service whose upstreams have less room than they list.
+TEST_CASE(
+    "A service is limited while upstreams turn most requests away, whatever slots they list") {
+    ServiceRoom room;
+    RoomCounts counts = Counts(300, 130, 60, 8);
+    counts.declined = 170;
+    CHECK(room.update(counts, kSupply, {1000}).limited);
+}
+
+// Guards against the starvation of teams beyond those that a message lists: together they got the
+// share of one.
+TEST_CASE("Teams that are counted together get the shares of that many teams") {
+    constexpr size_t kListed = 47;
+    constexpr size_t kMerged = 13;
+    RoomCounts counts;
+    counts.boxes = 83;
+    counts.pressed = true;
+    counts.inFlight = 100;
+    for (uint32_t team = 1; team <= kListed; ++team) {
+        counts.classes.push_back({{1, team}, 13, 13});
+    }
+    counts.classes.push_back({{1, 0}, 13.0 * kMerged, 13.0 * kMerged});
+    counts.priorities = {{1, 250, 400, 0, 24000, 60}};
+    ServiceRoom room;
+    const RoomShares shares = room.update(counts, kSupply, {1000});
+    REQUIRE(shares.limited);
+    CHECK(shares.fractionOf({1, 0}) >= 0.9 * shares.fractionOf({1, 1}));
+}
+
 TEST_CASE("A service without slots limits nothing: no upstream would be chosen anyway") {
     ServiceRoom room;
     CHECK_FALSE(room.update(Counts(900, 0, 0, 10), {0, 83, 200}, {1000}).limited);
