Let only the rest of a stream follow its head

Callers saw streams end as complete after half of their events, or with a foreign body in them: an upstream crashed in the middle, the box asked another one for the rest, and that one answered with something else.

Cause: whether an answer may be passed on was judged as if it were the first one. A signed 4xx, a 204 or a 200 of another type counts as an answer then, and an answer is delivered; what the caller has already was not asked. A crash that is taken for the end of the stream is ruled out by `end` stream-broken.

AnswerHeadRule judges a head together with what the caller has. After a head only a signed event stream with a 2xx goes on; other upstreams may try where the route allows it, else the stream is broken off, so no answer can stand in for its rest. The same class: a body that broke off was continued by a stream, events without an id came twice, and one whose id did not rise was dropped without a sign; DeliveredEvents decides about these.

--- a/include/base/HttpStatus.h
+++ b/include/base/HttpStatus.h
@@ -16,6 +16,7 @@
     static constexpr unsigned kGone = 410;
     static constexpr unsigned kPayloadTooLarge = 413;
     static constexpr unsigned kMisdirected = 421;
+    static constexpr unsigned kTooManyRequests = 429;
     static constexpr unsigned kFirstServerError = 500;
     static constexpr unsigned kBadGateway = 502;
     static constexpr unsigned kUnavailable = 503;
--- a/include/relay/EventStream.h
+++ b/include/relay/EventStream.h
@@ -10,11 +10,12 @@
 
 namespace onyx {
 
-// One complete event.
+// One event, or a piece of one that is too long to be buffered.
 struct StreamEvent {
-    std::string bytes;           // Includes the terminating blank line.
+    std::string bytes;           // Includes the terminating blank line, if the event is whole.
     std::optional<uint64_t> id;  // Absent if the event has no numeric id.
     bool hasData = false;        // It has a data field; comments alone are no event for callers.
+    bool isWhole = true;
 };
 
 // Incremental parser of one stream. Not thread safe: one task owns it.
--- a/include/relay/RequestAttempts.h
+++ b/include/relay/RequestAttempts.h
@@ -5,7 +5,8 @@
 // an answer; and the retry budget, which is consulted only if every other rule allows a retry.
 //
 // Rules: a request that may have run is sent again only if its route is repeatable, so a request of
-// any other route runs at most once. A caller is informed that its request did not run only if no
+// any other route runs at most once. Once the caller has the head of an answer, another upstream
+// may only continue that answer. A caller is informed that its request did not run only if no
 // attempt may have run it. A retry after an attempt that was not sent takes nothing from the retry
 // budget. Attempts that reached no upstream of the service have a limit of their own.
 //
@@ -48,7 +49,7 @@
     kAttemptsUsed,     // The route allows no more attempts.
     kConnectionsUsed,  // Too many attempts reached no upstream of the service.
     kNotRepeatable,    // May have run, and the route does not allow a second run.
-    kNotResumable,     // The stream has begun and cannot resume on another upstream.
+    kNotResumable,     // The answer has begun and cannot continue on another upstream.
     kNoBudget,         // The retry budget is exhausted.
     kNoUpstream,       // No upstream is left to try.
     kRefusedSince,     // The request would no longer be admitted.
@@ -77,7 +78,8 @@
 // Circumstances at the end of an attempt.
 struct AttemptFacts {
     bool timeLeft = true;        // Enough time before the deadline for another attempt.
-    bool callerHasHead = false;  // The caller has received the head of a stream.
+    bool callerHasHead = false;  // The caller has received the head of an answer.
+    bool mayContinue = true;     // Another upstream may continue what the caller has.
 };
 
 // The attempts of one request. Not thread safe: one task owns it.
@@ -109,7 +111,7 @@
     }
 
     // Returns the step for a request that ends without another attempt: `kBreak` if the caller has
-    // the head of a stream, `kFail` if any attempt may have run, otherwise `kRefuse`.
+    // the head of an answer, `kFail` if any attempt may have run, otherwise `kRefuse`.
     // Preconditions: none.
     Verdict stepWithoutRetry(bool callerHasHead, StepReason reason) const;
 
--- a/include/request/AnswerRelay.h
+++ b/include/request/AnswerRelay.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "include/lifecycle/Drain.h"
+#include "include/relay/DeliveredEvents.h"
 #include "include/relay/EventStream.h"
 #include "include/relay/RequestAttempts.h"
 #include "include/request/CallerConnection.h"
@@ -36,17 +37,17 @@
     // the relay.
     AnswerRelay(const Lifecycle& lifecycle, CallerConnection& caller,
                 std::optional<uint64_t> lastEvent)
-        : m_lifecycle(lifecycle), m_caller(caller), m_lastEvent(lastEvent) {}
+        : m_lifecycle(lifecycle), m_caller(caller), m_events(lastEvent) {}
 
     // Sets what is called once, before the first event of the answer, or the first bytes of one
     // that is no stream of events, go to the caller; a head or comments alone do not count.
     // Preconditions: none.
     void setBeginHandler(std::function<void()> handler) { m_onBegin = std::move(handler); }
 
-    // Reads the answer whose head `exchange` has, and passes on what may be. `stream`: the route's
-    // answers are streams. `until`: a whole answer is waited for so long at least.
-    // Preconditions: the exchange read a head.
-    Task<RelayEnd> relay(UpstreamExchange& exchange, bool stream, MonoTime until,
+    // Reads the answer whose head `exchange` has, and passes on what may be, by AnswerHeadRule.
+    // `inPieces`: a good answer is passed on as it arrives. `until`: a whole answer is waited for
+    // so long at least. Preconditions: the exchange read a head.
+    Task<RelayEnd> relay(UpstreamExchange& exchange, bool inPieces, MonoTime until,
                          const ReadDeadlines& deadlines);
 
     // Sends what is left: the end of a stream, or the whole answer that was kept last.
@@ -54,30 +55,50 @@
     Task<bool> finish();
 
     // Whether the caller has the head of an answer. Preconditions: none.
-    bool headSent() const { return m_headSent; }
+    bool headSent() const { return m_delivered != Delivered::kNothing; }
+    // Whether another upstream may continue what the caller has: an event stream whose place is
+    // known. Preconditions: none.
+    bool mayContinue() const {
+        return m_delivered == Delivered::kEvents && m_events.isPlaceKnown();
+    }
     // Events up to this one are with the caller. Preconditions: none.
-    std::optional<uint64_t> lastEvent() const { return m_lastEvent; }
+    std::optional<uint64_t> lastEvent() const { return m_events.lastEvent(); }
     // When the first byte of an answer went to the caller, if one did. Preconditions: none.
     std::optional<MonoTime> firstByteAt() const { return m_firstByteAt; }
-    // Status of the answer, 0 if there was none. Preconditions: none.
+    // Status that the caller has received, 0 if none. Preconditions: none.
     unsigned status() const { return m_status; }
+    // Status of the answer that finish() ends or sends. Preconditions: as for finish().
+    unsigned lastWordStatus() const { return headSent() ? m_status : m_wholeStatus; }
 
 private:
+    // What the caller has of an answer.
+    enum class Delivered : uint8_t {
+        kNothing,
+        kEvents,  // The head of an event stream, and events of it.
+        kBody,    // The head of another answer, and a part of its body.
+    };
+    struct NewEvents {
+        std::string bytes;
+        bool outOfOrder = false;  // An event followed that cannot be passed on.
+    };
+
     Task<RelayEnd> relayWhole(UpstreamExchange& exchange, AttemptEnd judged, MonoTime until);
+    Task<RelayEnd> relayEvents(UpstreamExchange& exchange, const ReadDeadlines& deadlines);
     Task<RelayEnd> relayPieces(UpstreamExchange& exchange, const ReadDeadlines& deadlines);
     // The events that `bytes` complete and that the caller does not have yet.
-    std::string newEvents(EventStream& stream, std::string_view bytes);
+    NewEvents newEvents(EventStream& stream, std::string_view bytes);
     void noteBegun();
-    Task<bool> pass(const ResponseHead& head, std::string_view bytes);
-    Task<bool> sendHead(const ResponseHead& head);
+    Task<bool> pass(const ResponseHead& head, Delivered kind, std::string_view bytes);
+    Task<bool> sendHead(const ResponseHead& head, Delivered kind);
 
     const Lifecycle& m_lifecycle;
     CallerConnection& m_caller;
-    std::optional<uint64_t> m_lastEvent;
+    DeliveredEvents m_events;
     std::function<void()> m_onBegin;  // Empty once it was called.
-    bool m_headSent = false;
+    Delivered m_delivered = Delivered::kNothing;
     std::optional<MonoTime> m_firstByteAt;
     std::string m_wholeAnswer;  // As it goes to the caller.
+    unsigned m_wholeStatus = 0;
     unsigned m_status = 0;
 };
 
--- a/include/request/Attempt.h
+++ b/include/request/Attempt.h
@@ -11,6 +11,7 @@
 #include "include/request/UpstreamExchange.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace onyx {
@@ -61,6 +62,7 @@
     MonoTime m_start;
     MonoTime m_sentAt;  // Once it was sent.
     bool m_sent = false;
+    std::optional<unsigned> m_answerStatus;  // Once the head of an answer came.
     std::string m_connectError;  // Why no connection could be opened; empty: none failed.
 };
 
--- a/include/request/JudgeStep.h
+++ b/include/request/JudgeStep.h
@@ -33,6 +33,8 @@
     const RequestAttempts& attempts() const { return m_attempts; }
 
 private:
+    AttemptFacts factsOf(bool timeLeft) const;
+
     RequestContext& m_context;
     const CallerRequest& m_request;
     const CallerConnection& m_caller;
--- a/include/request/RequestLog.h
+++ b/include/request/RequestLog.h
@@ -29,8 +29,9 @@
     std::string version;  // Of the upstream's software; empty: unknown.
     std::string stream;   // See CallerFacts::streamId().
     AttemptEnd end = AttemptEnd::kUnclear;
-    bool timedOut = false;       // It ended for lack of time.
-    bool unreachable = false;    // The upstream's machine gave no sign of life.
+    std::optional<unsigned> answerStatus;  // Of the upstream's answer, if its head came.
+    bool timedOut = false;                 // It ended for lack of time.
+    bool unreachable = false;              // The upstream's machine gave no sign of life.
     bool upstreamEnded = false;  // The upstream closed or started again while it ran the request.
     std::optional<uint64_t> fingerprint;  // Of the request, where the upstream ended.
     bool leaving = false;                 // The upstream's answer says that it is about to end.
@@ -57,7 +58,7 @@
     std::string upstream;  // Of the last attempt.
     int attempts = 0;
     bool mayHaveRun = false;
-    unsigned status = 0;  // Of the answer, 0 if there was none.
+    unsigned status = 0;  // That the caller received, 0 if none.
     Millis took = 0;
     std::optional<Millis> firstByte;  // After the request came; nothing: the caller got none.
 };
--- a/src/relay/EventStream.cpp
+++ b/src/relay/EventStream.cpp
@@ -57,14 +57,15 @@
     while (true) {
         const std::string_view text = std::string_view(m_incomplete).substr(taken);
         size_t end = FindEventEnd(text);
-        if (end == std::string_view::npos && text.size() > kMaxEventBytes) {
+        const bool isWhole = end != std::string_view::npos;
+        if (!isWhole && text.size() > kMaxEventBytes) {
             end = text.size();
         }
         if (end == std::string_view::npos) {
             break;
         }
         const std::string_view event = text.substr(0, end);
-        events.push_back({std::string(event), ParseEventId(event), HasDataField(event)});
+        events.push_back({std::string(event), ParseEventId(event), HasDataField(event), isWhole});
         taken += end;
     }
     m_incomplete.erase(0, taken);
--- a/src/relay/RequestAttempts.cpp
+++ b/src/relay/RequestAttempts.cpp
@@ -70,7 +70,8 @@
     if (m_mayHaveRun && !m_rules.repeatable) {
         return StepReason::kNotRepeatable;
     }
-    if (end == AttemptEnd::kStreamBroken && !m_rules.resumable) {
+    const bool continues = facts.callerHasHead || end == AttemptEnd::kStreamBroken;
+    if (continues && !(m_rules.resumable && facts.mayContinue)) {
         return StepReason::kNotResumable;
     }
     return StepReason::kMayRetry;
--- a/src/request/AnswerRelay.cpp
+++ b/src/request/AnswerRelay.cpp
@@ -1,9 +1,9 @@
 #include "include/request/AnswerRelay.h"
 
-#include "include/base/HttpStatus.h"
+#include "include/relay/AnswerHeadRule.h"
 #include "include/request/HttpText.h"
 
-#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/field.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -14,30 +14,16 @@
 
 namespace {
 
-// Larger answers are passed on in pieces, since they would fill a box's memory.
-constexpr size_t kWholeAnswerBytes = size_t{256} * 1024;
-
-// Whether a status tells a caller that the request did not run. An upstream that ran it may use
-// them all the same; then they must not reach the caller.
-bool PromisesNotRun(http::status status) {
-    return status == http::status::request_timeout || status == http::status::misdirected_request ||
-           status == http::status::too_many_requests || status == http::status::service_unavailable;
-}
-
-// What the head of an answer says of the attempt.
-AttemptEnd JudgeHead(const UpstreamExchange& exchange) {
+AnswerHead HeadOf(const UpstreamExchange& exchange) {
+    const ResponseHead& head = exchange.head();
     const UpstreamFacts& facts = exchange.facts();
-    if (facts.misdirected) {
-        return AttemptEnd::kMisdirected;
-    }
-    if (facts.declined) {
-        return AttemptEnd::kDeclined;
-    }
-    if (PromisesNotRun(exchange.head().result()) || !facts.authentic) {
-        return AttemptEnd::kUnclear;
-    }
-    const bool failed = exchange.head().result_int() >= HttpStatus::kFirstServerError;
-    return failed ? AttemptEnd::kFailed : AttemptEnd::kAnswered;
+    const std::string_view type = head[http::field::content_type];
+    return {head.result_int(),
+            facts.declined,
+            facts.misdirected,
+            facts.authentic,
+            type.starts_with("text/event-stream"),
+            exchange.length()};
 }
 
 // An answer's headers without those that concern one connection only.
@@ -49,17 +35,22 @@
 
 }  // namespace
 
-Task<RelayEnd> AnswerRelay::relay(UpstreamExchange& exchange, bool stream, MonoTime until,
+Task<RelayEnd> AnswerRelay::relay(UpstreamExchange& exchange, bool inPieces, MonoTime until,
                                   const ReadDeadlines& deadlines) {
-    const AttemptEnd judged = JudgeHead(exchange);
-    const auto kind = http::to_status_class(exchange.head().result());
-    const bool large = exchange.length().value_or(0) > kWholeAnswerBytes;
-    const bool events = stream && kind == http::status_class::successful;
-    if (judged == AttemptEnd::kAnswered && (events || large)) {
-        co_return co_await relayPieces(exchange, deadlines);
+    const HeadVerdict verdict = JudgeAnswerHead(HeadOf(exchange), inPieces, headSent());
+    switch (verdict.use) {
+        case BodyUse::kEvents:
+            co_return co_await relayEvents(exchange, deadlines);
+        case BodyUse::kPieces:
+            co_return co_await relayPieces(exchange, deadlines);
+        case BodyUse::kWhole: {
+            const MonoTime bodyUntil = std::max(until, deadlines.next());
+            co_return co_await relayWhole(exchange, verdict.end, bodyUntil);
+        }
+        case BodyUse::kDiscard:
+            break;
     }
-    const MonoTime bodyUntil = std::max(until, deadlines.next());
-    co_return co_await relayWhole(exchange, judged, bodyUntil);
+    co_return RelayEnd{verdict.end, false};
 }
 
 // Reads the answer to its end and keeps it as text; it is delivered when it is known to be the
@@ -81,7 +72,7 @@
         body += piece;
     }
     if (judged == AttemptEnd::kAnswered || judged == AttemptEnd::kFailed) {
-        m_status = exchange.head().result_int();
+        m_wholeStatus = exchange.head().result_int();
         const HttpFields fields = PassedFields(exchange.head());
         m_wholeAnswer = AnswerText(exchange.head(), fields, body, m_lifecycle.draining());
     }
@@ -89,46 +80,74 @@
 }
 
 // Passes a stream on, event by event. Only whole events go to the caller, each once.
-Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange,
+Task<RelayEnd> AnswerRelay::relayEvents(UpstreamExchange& exchange,
                                         const ReadDeadlines& deadlines) {
-    const std::string_view type = exchange.head()[http::field::content_type];
-    const bool events = type.starts_with("text/event-stream");
+    m_events.beginAttempt();
     EventStream stream;
     std::string piece;
     while (true) {
-        const MonoTime until = m_headSent ? deadlines.next() : deadlines.first();
+        const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
         const AnswerRead end = co_await exchange.read(piece, until);
         if (end == AnswerRead::kComplete && stream.incomplete().empty()) {
-            const bool begun = m_headSent || co_await sendHead(exchange.head());
+            const bool begun = headSent() || co_await sendHead(exchange.head(), Delivered::kEvents);
             co_return RelayEnd{begun ? AttemptEnd::kAnswered : AttemptEnd::kStreamBroken, false};
         }
         if (end != AnswerRead::kPart) {
-            co_return RelayEnd{m_headSent ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
+            co_return RelayEnd{headSent() ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
                                end == AnswerRead::kTimeout};
         }
-        if (!events) {
-            noteBegun();
+        const NewEvents fresh = newEvents(stream, piece);
+        if (!fresh.bytes.empty() &&
+            !co_await pass(exchange.head(), Delivered::kEvents, fresh.bytes)) {
+            co_return RelayEnd{AttemptEnd::kStreamBroken, false};
+        }
+        if (fresh.outOfOrder) {
+            co_return RelayEnd{headSent() ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
+                               false};
+        }
+    }
+}
+
+// Passes a body on as it arrives. None of it can come from another upstream.
+Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange,
+                                        const ReadDeadlines& deadlines) {
+    std::string piece;
+    while (true) {
+        const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
+        const AnswerRead end = co_await exchange.read(piece, until);
+        if (end == AnswerRead::kComplete) {
+            const bool begun = headSent() || co_await sendHead(exchange.head(), Delivered::kBody);
+            co_return RelayEnd{begun ? AttemptEnd::kAnswered : AttemptEnd::kStreamBroken, false};
+        }
+        if (end != AnswerRead::kPart) {
+            co_return RelayEnd{headSent() ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
+                               end == AnswerRead::kTimeout};
         }
-        const std::string out = events ? newEvents(stream, piece) : std::move(piece);
-        if (!out.empty() && !co_await pass(exchange.head(), out)) {
+        noteBegun();
+        if (!co_await pass(exchange.head(), Delivered::kBody, piece)) {
             co_return RelayEnd{AttemptEnd::kStreamBroken, false};
         }
     }
 }
 
-std::string AnswerRelay::newEvents(EventStream& stream, std::string_view bytes) {
-    std::string out;
+AnswerRelay::NewEvents AnswerRelay::newEvents(EventStream& stream, std::string_view bytes) {
+    NewEvents fresh;
     for (const StreamEvent& event : stream.feed(bytes)) {
-        if (event.id && m_lastEvent && *event.id <= *m_lastEvent) {
-            continue;
+        switch (m_events.take(event)) {
+            case EventUse::kDeliver:
+                break;
+            case EventUse::kDuplicate:
+                continue;
+            case EventUse::kOutOfOrder:
+                fresh.outOfOrder = true;
+                return fresh;
         }
         if (event.id || event.hasData) {
             noteBegun();
         }
-        m_lastEvent = event.id ? event.id : m_lastEvent;
-        out += event.bytes;
+        fresh.bytes += event.bytes;
     }
-    return out;
+    return fresh;
 }
 
 void AnswerRelay::noteBegun() {
@@ -137,16 +156,16 @@
     }
 }
 
-Task<bool> AnswerRelay::pass(const ResponseHead& head, std::string_view bytes) {
-    if (!m_headSent && !co_await sendHead(head)) {
+Task<bool> AnswerRelay::pass(const ResponseHead& head, Delivered kind, std::string_view bytes) {
+    if (!headSent() && !co_await sendHead(head, kind)) {
         co_return false;
     }
     std::string chunk = ChunkText(bytes);
     co_return co_await m_caller.write(std::move(chunk));
 }
 
-Task<bool> AnswerRelay::sendHead(const ResponseHead& head) {
-    m_headSent = true;
+Task<bool> AnswerRelay::sendHead(const ResponseHead& head, Delivered kind) {
+    m_delivered = kind;
     m_firstByteAt = ReadClocks().mono;
     m_status = head.result_int();
     const HttpFields fields = PassedFields(head);
@@ -156,7 +175,8 @@
 
 Task<bool> AnswerRelay::finish() {
     m_firstByteAt = m_firstByteAt.value_or(ReadClocks().mono);
-    std::string text = m_headSent ? std::string(kLastChunk) : std::move(m_wholeAnswer);
+    m_status = lastWordStatus();
+    std::string text = headSent() ? std::string(kLastChunk) : std::move(m_wholeAnswer);
     co_return co_await m_caller.write(std::move(text));
 }
 
--- a/src/request/AnswerStep.cpp
+++ b/src/request/AnswerStep.cpp
@@ -9,7 +9,7 @@
 namespace onyx {
 
 Task<AfterAnswer> AnswerStep::deliver() {
-    const bool success = m_progress.answer->status() < HttpStatus::kFirstRedirect;
+    const bool success = m_progress.answer->lastWordStatus() < HttpStatus::kFirstRedirect;
     if (success) {
         m_context.quarantine.noteAnswer(m_request.fingerprint(), m_progress.attemptStart);
         m_context.quarantine.notePartAnswers(std::span(m_request.fingerprints()).subspan(1),
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -44,6 +44,7 @@
     report.firstByte = timeToFirstByte(ended.end, report.took);
     report.connection = m_exchange->connection();
     report.connection.connectError = m_connectError;
+    report.answerStatus = m_answerStatus;
     report.leaving = m_exchange->facts().leaving;
     report.backoff = m_exchange->facts().backoff;
     const bool broke = ended.end == AttemptEnd::kUnclear || ended.end == AttemptEnd::kStreamBroken;
@@ -83,6 +84,7 @@
     if (head != AnswerRead::kPart) {
         co_return RelayEnd{AttemptEnd::kUnclear, head == AnswerRead::kTimeout};
     }
+    m_answerStatus = m_exchange->head().result_int();
     learnFromHead();
     const ReadDeadlines deadlines{[this] { return firstByteDeadline(); },
                                   [this] { return nextPieceDeadline(); }};
@@ -135,7 +137,9 @@
 }
 
 MonoTime Attempt::nextPieceDeadline() const {
-    const AttemptWait wait{m_request.attempts.mayRetryBroken(), m_request.admission.deadline};
+    const bool mayContinue = !m_relay.headSent() || m_relay.mayContinue();
+    const AttemptWait wait{mayContinue && m_request.attempts.mayRetryBroken(),
+                           m_request.admission.deadline};
     return NextPieceDeadline(wait, m_context.settings.stallTimeout, ReadClocks().mono);
 }
 
--- a/src/request/JudgeStep.cpp
+++ b/src/request/JudgeStep.cpp
@@ -10,19 +10,23 @@
     m_attempts = RequestAttempts(rules);
 }
 
+AttemptFacts JudgeStep::factsOf(bool timeLeft) const {
+    const AnswerRelay& answer = *m_progress.answer;
+    return {timeLeft, answer.headSent(), answer.mayContinue()};
+}
+
 Verdict JudgeStep::judge(AttemptEnd end) {
     const MonoTime now = ReadClocks().mono;
     const Admission& admission = m_request.admission;
     const bool timeLeft = HasTimeForAttempt(admission.deadline, now) && !m_caller.gone();
-    return m_attempts.ended(end, {timeLeft, m_progress.answer->headSent()}, [&] {
+    return m_attempts.ended(end, factsOf(timeLeft), [&] {
         return m_context.retries.tryAcquireRetry(admission.service, m_context.mesh.boxesKnown(),
                                                  now);
     });
 }
 
 Verdict JudgeStep::judgeRelayed(AttemptEnd end) {
-    const AttemptFacts facts{false, m_progress.answer->headSent()};
-    return m_attempts.ended(end, facts, [] { return false; });
+    return m_attempts.ended(end, factsOf(false), [] { return false; });
 }
 
 Verdict JudgeStep::withoutRetry(StepReason reason) const {
--- a/src/request/RequestLog.cpp
+++ b/src/request/RequestLog.cpp
@@ -130,6 +130,7 @@
               {"version", report.version},
               {"stream", report.stream},
               {"end", end},
+              {"answer_status", NumberOr(report.answerStatus, "none")},
               {"timed_out", YesNo(report.timedOut)},
               {"unreachable", YesNo(report.unreachable)},
               {"took_ms", std::to_string(report.took)},
--- a/tests/RequestAttemptsTest.cpp
+++ b/tests/RequestAttemptsTest.cpp
@@ -108,6 +108,21 @@
           NextStep::kBreak);
 }
 
+// The events of a second run were appended to the first part of a body.
+TEST_CASE(
+    "What the caller has and no upstream can continue is broken off, however the attempt ends") {
+    AttemptFacts body;
+    body.callerHasHead = true;
+    body.mayContinue = false;
+    const AttemptEnd end =
+        GENERATE(AttemptEnd::kNotSent, AttemptEnd::kDeclined, AttemptEnd::kFailed,
+                 AttemptEnd::kUnclear, AttemptEnd::kStreamBroken);
+    RequestAttempts attempts(AttemptRules{true, true, 3});
+    const Verdict verdict = attempts.ended(end, body, [] { return true; });
+    CHECK(verdict.step == NextStep::kBreak);
+    CHECK(verdict.reason == StepReason::kNotResumable);
+}
+
 TEST_CASE("The verdict contains the reason why a request is not retried") {
     const auto yes = [] { return true; };
     const auto no = [] { return false; };
