Give on a list only as of one revision

Callers' orders went to a draining upstream for as long as it lived, and some were cut off by its end, from a box that had started while copies of the store lagged behind it by different times.

Cause: a list of several pages was taken as of the revision of its first page, and the watch began there. Later pages of copies may be older, and what changed in between was never seen. Where later pages are newer, entries were recorded as changed too early, so that boxes that take changes from this one missed them.

PagedList: pages that differ are brought to one revision by the changes since the oldest of them, before anything is reported. The last change of an object counts, so none can fall back. It is the watch that confirms a copy anyway, so it costs no call. Holds for all kinds of objects and for lists of the store itself. If the history is gone there, the store is listed; one without any history is listed after growing pauses.

--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -7,6 +7,7 @@
 
 #include "include/dialect/Dialect.h"
 #include "include/net/Net.h"
+#include "include/store/PagedList.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -36,6 +38,7 @@
     kNewer,         // Another box has something newer: a copy is read.
     kNothingKnown,  // Nothing to watch from is known: a list.
     kPage,          // The next page of a list.
+    kPagesDiffer,   // The pages of a list are as of different revisions: a watch from the oldest.
     kHistoryGone,   // The store has forgotten the changes since: a list.
     kRestored,      // The store is at a lower revision than before: a list.
     kUnreadable,    // The last answer could not be read: a list.
@@ -110,10 +113,23 @@
         std::string body;
     };
 
+    // One answer of a watch.
+    struct Changes {
+        ObjectChanges content;
+        // Everything acknowledged before this is covered. Nothing: more changes may follow, which
+        // the next watch, a short one, brings.
+        std::optional<MonoTime> asOf;
+    };
+
     Task<Result<bool>> list(ListSource source);
+    Task<Result<bool>> catchUp(PagedList& list);
+    void reportFirstPage(const PagedList& list);
+    void reportList(PagedList& list, ListSource source, MonoTime begun);
+    void reportCaughtUp(PagedList& list, std::optional<MonoTime> asOf);
     Task<Result<ObjectPage>> readPage(std::string after, ListSource source);
     Task<Result<bool>> watch();
-    Task<Result<bool>> takeChanges(std::string_view body, MonoTime sent, Millis wait);
+    // Reads the changes since `revision`. Nothing: they are not to be had, and a list is due.
+    Task<Result<std::optional<Changes>>> readChanges(uint64_t revision, Millis wait);
     Task<> waitUntilAllowed();
     Task<> callOnce();
     Task<Result<bool>> makeCall();
@@ -140,6 +156,8 @@
     StoreCallCause m_cause = StoreCallCause::kStart;  // Of the next call.
     bool m_copyWanted = true;
     bool m_listed = false;  // There is a revision to watch from.
+    // The last list was read from the store itself, and no answer of a watch has come since.
+    bool m_isListNew = false;
     uint64_t m_revision = 0;
     MonoTime m_asOf;  // Everything acknowledged before this is known.
     std::minstd_rand m_random{std::random_device{}()};
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -47,6 +47,8 @@
             return "nothing-known";
         case StoreCallCause::kPage:
             return "page";
+        case StoreCallCause::kPagesDiffer:
+            return "pages-differ";
         case StoreCallCause::kHistoryGone:
             return "history-gone";
         case StoreCallCause::kRestored:
@@ -135,7 +137,8 @@
     const Result<bool> done = co_await makeCall();
     if (done.has_value()) {
         noteReachable("");
-        m_pause = 0;
+        // A list is of use only if it can be watched from.
+        m_pause = m_isListNew ? m_pause : 0;
         m_failed = false;
         co_return;
     }
@@ -178,29 +181,18 @@
 }
 
 Task<Result<bool>> StoreWatch::list(ListSource source) {
-    StoreUpdate update;
-    update.isCopy = source == ListSource::kCopy;
-    if (!update.isCopy) {
-        update.asOf = ReadClocks().mono;
-    }
-    std::string after;
-    bool more = true;
-    while (more) {
-        Result<ObjectPage> page = co_await readPage(after, source);
+    const MonoTime begun = ReadClocks().mono;
+    PagedList list;
+    while (list.hasMorePages()) {
+        m_cause = list.pages() > 0 ? StoreCallCause::kPage : m_cause;
+        std::string after = list.lastName();
+        Result<ObjectPage> page = co_await readPage(std::move(after), source);
         if (page.has_error()) {
             co_return page.error();
         }
-        // Changes made while the pages were read come again with the watch, which starts at the
-        // first page's revision.
-        update.revision = update.revision == 0 ? page.value().revision : update.revision;
-        more = page.value().more && !page.value().objects.empty();
-        m_cause = StoreCallCause::kPage;
-        const bool isFirst = update.objects.empty();
-        for (StoredObject& object : page.value().objects) {
-            after = object.name;
-            update.objects.push_back(std::move(object));
-        }
-        const bool isLong = isFirst && more && source == ListSource::kCopy &&
+        list.addPage(std::move(page.value()));
+        const bool isLong = list.pages() == 1 && list.hasMorePages() &&
+                            source == ListSource::kCopy &&
                             m_settings.kind == ObjectKind::kUpstreams;
         if (!isLong) {
             continue;
@@ -210,25 +202,93 @@
         if (isKnown) {
             continue;
         }
-        m_listed = true;
-        m_cause = StoreCallCause::kConfirm;
-        report(update);
+        reportFirstPage(list);
         if (leavesRest) {
             co_return true;
         }
         // Confirms the first page before the rest is read, which takes seconds for a long list.
         const Result<bool> confirmed = co_await watch();
-        if (confirmed.has_error()) {
-            co_return confirmed.error();
+        if (confirmed.has_error() || !m_listed) {
+            co_return confirmed;
         }
     }
-    update.whole = true;
+    m_isListNew = source == ListSource::kStore;
+    if (!list.isConsistent()) {
+        co_return co_await catchUp(list);
+    }
+    reportList(list, source, begun);
+    co_return true;
+}
+
+void StoreWatch::reportFirstPage(const PagedList& list) {
+    m_listed = true;
+    m_cause = StoreCallCause::kConfirm;
+    StoreUpdate update;
+    update.isCopy = true;
+    update.objects.assign(list.pageObjects().begin(), list.pageObjects().end());
+    update.revision = list.revision();
+    report(std::move(update));
+}
+
+void StoreWatch::reportList(PagedList& list, ListSource source, MonoTime begun) {
     m_listed = true;
     m_cause = source == ListSource::kCopy ? StoreCallCause::kConfirm : StoreCallCause::kChanged;
+    StoreUpdate update;
+    update.whole = true;
+    update.isCopy = source == ListSource::kCopy;
+    if (!update.isCopy) {
+        update.asOf = begun;
+    }
+    update.revision = list.revision();
+    update.objects = list.takeObjects();
     report(std::move(update));
+}
+
+// Reads the changes since the oldest page. Nothing is reported before they are known: a change that
+// a page lacks would be missed here, and by all boxes that take their list from this one.
+Task<Result<bool>> StoreWatch::catchUp(PagedList& list) {
+    std::optional<MonoTime> asOf;
+    while (!list.isConsistent()) {
+        m_cause = StoreCallCause::kPagesDiffer;
+        Result<std::optional<Changes>> read =
+            co_await readChanges(list.revision(), kMinWatchWaitMs);
+        if (read.has_error()) {
+            co_return read.error();
+        }
+        if (!read.value()) {
+            co_return true;
+        }
+        Changes& changes = *read.value();
+        asOf = changes.asOf;
+        const bool unchanged = changes.content.objects.empty();
+        list.addChanges(std::move(changes.content), !asOf);
+        if (unchanged && !list.isConsistent()) {
+            listAgain(StoreCallCause::kRestored);  // The store is behind one of its copies.
+            co_return true;
+        }
+    }
+    reportCaughtUp(list, asOf);
     co_return true;
 }
 
+void StoreWatch::reportCaughtUp(PagedList& list, std::optional<MonoTime> asOf) {
+    m_listed = true;
+    m_cause = StoreCallCause::kChanged;
+    StoreUpdate update;
+    update.asOf = asOf;
+    update.revision = list.revision();
+    const uint64_t known = m_sink.knownRevision();
+    if (known > 0 && known >= list.oldestPage()) {
+        // What is known here already may be a part of the list; then the changes tell it also what
+        // was removed from the rest.
+        update.objects.assign(list.changes().begin(), list.changes().end());
+        report(update);
+    }
+    update.whole = true;
+    update.objects = list.takeObjects();
+    report(std::move(update));
+}
+
 void StoreWatch::report(StoreUpdate update) {
     m_revision = update.revision;
     m_asOf = update.asOf.value_or(MonoTime{});
@@ -250,49 +310,64 @@
 }
 
 Task<Result<bool>> StoreWatch::watch() {
+    Result<std::optional<Changes>> read = co_await readChanges(m_revision, nextWait());
+    if (read.has_error()) {
+        co_return read.error();
+    }
+    if (!read.value()) {
+        co_return true;
+    }
+    Changes& changes = *read.value();
+    StoreUpdate update;
+    update.objects = std::move(changes.content.objects);
+    update.revision = changes.content.revision;
+    update.asOf = changes.asOf;
+    const bool unchanged = update.objects.empty();
+    m_cause = unchanged ? StoreCallCause::kUnchanged : StoreCallCause::kChanged;
+    report(std::move(update));
+    const Millis pause = unchanged ? 0 : m_sink.pauseAfterChanges();
+    if (pause > 0) {
+        co_await SleepFor(pause);
+    }
+    co_return true;
+}
+
+Task<Result<std::optional<StoreWatch::Changes>>> StoreWatch::readChanges(uint64_t revision,
+                                                                         Millis wait) {
     const MonoTime sent = ReadClocks().mono;
-    const Millis wait = nextWait();
-    std::string target = m_dialect.watchTarget(m_settings.kind, m_revision, wait);
+    std::string target = m_dialect.watchTarget(m_settings.kind, revision, wait);
     const Millis timeout = wait + m_settings.timeout;
     const Result<Answer> answer = co_await call(std::move(target), timeout);
     if (answer.has_error()) {
         co_return answer.error();
     }
+    const bool isListNew = std::exchange(m_isListNew, false);
     if (answer.value().status == HttpStatus::kGone) {
         listAgain(StoreCallCause::kHistoryGone);
-        co_return true;
+        if (isListNew) {
+            // The next list may be too old as soon as it has been read as well: pause first.
+            co_return badStatus("store.watch", HttpStatus::kGone);
+        }
+        co_return std::nullopt;
     }
     if (answer.value().status != HttpStatus::kOk) {
         co_return badStatus("store.watch", answer.value().status);
     }
-    co_return co_await takeChanges(answer.value().body, sent, wait);
-}
-
-Task<Result<bool>> StoreWatch::takeChanges(std::string_view body, MonoTime sent, Millis wait) {
-    Result<ObjectChanges> changes = m_dialect.readChanges(m_settings.kind, body);
-    if (changes.has_error()) {
+    Result<ObjectChanges> read = m_dialect.readChanges(m_settings.kind, answer.value().body);
+    if (read.has_error()) {
         listAgain(StoreCallCause::kUnreadable);
-        co_return changes.error();
+        co_return read.error();
     }
-    if (changes.value().revision < m_revision) {
+    if (read.value().revision < revision) {
         listAgain(StoreCallCause::kRestored);  // What is here may be ahead of it.
-        co_return true;
-    }
-    StoreUpdate update;
-    update.objects = std::move(changes.value().objects);
-    update.revision = changes.value().revision;
-    const bool unchanged = update.objects.empty();
-    m_cause = unchanged ? StoreCallCause::kUnchanged : StoreCallCause::kChanged;
-    // The next watch, a short one, confirms what the answer brought.
-    if (!MayBePart(body.size(), update.objects.size())) {
-        update.asOf = WatchConfirmedAsOf(sent, ReadClocks().mono, wait, unchanged);
+        co_return std::nullopt;
     }
-    report(std::move(update));
-    const Millis pause = unchanged ? 0 : m_sink.pauseAfterChanges();
-    if (pause > 0) {
-        co_await SleepFor(pause);
+    Changes changes{std::move(read.value()), std::nullopt};
+    const size_t count = changes.content.objects.size();
+    if (!MayBePart(answer.value().body.size(), count)) {
+        changes.asOf = WatchConfirmedAsOf(sent, ReadClocks().mono, wait, count == 0);
     }
-    co_return true;
+    co_return std::optional<Changes>(std::move(changes));
 }
 
 void StoreWatch::disconnect() {
