Bound what a box holds of an answer, and how long it reads one

Callers got no answer by their deadline, and boxes took hundreds of MB, while an upstream sent bytes without end: bodies, chunk extensions, trailers, interim or other answers, events.

Cause: bodies were gathered without a bound, also those that no caller gets; the buffer before the parser had none; and a time-out ended only reads that wait, so bytes that kept coming were read for as long as they did. The kinds tell the three apart: bodies and chunk headers cost memory, whole messages in a row cost callers their answer.

The head decides what it can, at once. Buffers are bounded, time is looked at before each read, few other answers are passed over. An upstream whose declined answer does not end counts as unsound. The same for the store, HttpClient and callers' chunk headers.

--- a/include/net/HttpClient.h
+++ b/include/net/HttpClient.h
@@ -52,10 +52,13 @@
 
 private:
     friend class HttpClient;
+    // Bytes that are read ahead of the parser.
+    static constexpr size_t kMaxBuffered = size_t{64} * 1024;
+
     void endInOrder();
 
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{kMaxBuffered};
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
     HttpAnswer m_head;
     std::string m_peer;
@@ -72,7 +75,11 @@
     Task<Result<std::shared_ptr<HttpStream>>> open(Endpoint peer, HttpOutgoing request,
                                                    Millis timeout);
 
-    // Sends `request` and reads the whole answer. Preconditions: timeout > 0.
+    // Longest body that call() reads, in bytes.
+    static constexpr size_t kMaxBody = size_t{8} << 20;
+
+    // Sends `request` and reads the whole answer, all within `timeout`. Errors besides those above:
+    // kProtocol if the body is longer than kMaxBody. Preconditions: timeout > 0.
     Task<Result<HttpAnswer>> call(Endpoint peer, HttpOutgoing request, Millis timeout);
 
 private:
--- a/include/relay/AnswerHeadRule.h
+++ b/include/relay/AnswerHeadRule.h
@@ -4,6 +4,9 @@
 // Inputs: what the head says of the answer, and whether the caller already has the head of another
 // answer to the same request.
 //
+// Where the head alone decides that the body will not go to the caller, it is not read: it may have
+// no end.
+//
 // A caller has one head. Once it has that of an event stream, only the body of another event stream
 // may follow it, and only if the upstream confirms it: a 2xx that carries the upstream's mark. The
 // body of any other answer would stand in the middle of the caller's stream, and its end would look
@@ -31,7 +34,7 @@
 enum class BodyUse : uint8_t {
     kEvents,   // Its events go to the caller one by one.
     kPieces,   // It goes to the caller as it arrives.
-    kWhole,    // It is collected, and delivered if it is the last word.
+    kWhole,    // It is collected, up to kMaxWholeBody, and delivered if it is the last word.
     kDiscard,  // It is not read.
 };
 
--- a/include/relay/EventStream.h
+++ b/include/relay/EventStream.h
@@ -24,7 +24,7 @@
     // Maximum size of a buffered event, in bytes. A longer event is returned in pieces, which
     // bounds the memory for an event that never ends. A piece has an id only if it contains an id
     // line.
-    static constexpr size_t kMaxEventBytes = size_t{1} << 20;
+    static constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 
     // Appends `bytes` to the stream and returns the events that they complete, in order.
     // Preconditions: none.
@@ -34,11 +34,18 @@
     // call of feed() or reset(). Preconditions: none.
     std::string_view incomplete() const { return m_incomplete; }
 
+    // Returns whether the stream could end here: no event has begun. Preconditions: none.
+    bool isBetweenEvents() const { return m_incomplete.empty() && !m_inLongEvent; }
+
     // Discards the bytes of an incomplete event, after its stream broke off. Preconditions: none.
-    void reset() { m_incomplete.clear(); }
+    void reset() {
+        m_incomplete.clear();
+        m_inLongEvent = false;
+    }
 
 private:
     std::string m_incomplete;
+    bool m_inLongEvent = false;  // A piece of an event was returned, and its end was not.
 };
 
 }  // namespace onyx
--- a/include/relay/RequestAttempts.h
+++ b/include/relay/RequestAttempts.h
@@ -80,6 +80,8 @@
     bool timeLeft = true;        // Enough time before the deadline for another attempt.
     bool callerHasHead = false;  // The caller has received the head of an answer.
     bool mayContinue = true;     // Another upstream may continue what the caller has.
+    // The caller has all of the attempt's answer, which was passed on as it arrived.
+    bool callerHasAll = false;
 };
 
 // The attempts of one request. Not thread safe: one task owns it.
@@ -93,7 +95,7 @@
     template <class TakeRetry>
     Verdict ended(AttemptEnd end, const AttemptFacts& facts, TakeRetry&& takeRetry) {
         countAttempt(end);
-        if (end == AttemptEnd::kAnswered) {
+        if (end == AttemptEnd::kAnswered || facts.callerHasAll) {
             return {NextStep::kDeliver, StepReason::kAnswered};
         }
         StepReason reason = retryReason(end, facts);
--- a/include/request/AnswerRelay.h
+++ b/include/request/AnswerRelay.h
@@ -1,5 +1,6 @@
 // Passes an upstream's answer on to a caller: small ones whole, once they are known to be the last
-// word; streams event by event, each event once, over all the upstreams that a request goes to.
+// word; larger ones as they arrive; streams event by event, each event once, over all the upstreams
+// that a request goes to. What it holds of an answer is bounded, whatever the upstream sends.
 //
 // Owns what the caller has of the answer. Relies on EventStream for cutting, on Lifecycle for
 // whether the connection is to close after it.
@@ -10,6 +11,7 @@
 #include "include/relay/EventStream.h"
 #include "include/relay/RequestAttempts.h"
 #include "include/request/CallerConnection.h"
+#include "include/request/CollectedBody.h"
 #include "include/request/UpstreamExchange.h"
 
 #include <functional>
@@ -30,14 +32,21 @@
     std::function<MonoTime()> next;   // Later.
 };
 
+// What an answer may become, by its request.
+struct RelayRules {
+    bool inPieces = false;  // A good answer is passed on as it arrives.
+    // No other attempt may follow, so that a failure is passed on whatever its size.
+    bool isLastAttempt = false;
+};
+
 // One for each request. Not thread safe: one io_context, one task.
 class AnswerRelay {
 public:
     // `lastEvent`: the caller has the events up to this one. Preconditions: the arguments outlive
     // the relay.
-    AnswerRelay(const Lifecycle& lifecycle, CallerConnection& caller,
+    AnswerRelay(const Lifecycle& lifecycle, AnswerMemory& memory, CallerConnection& caller,
                 std::optional<uint64_t> lastEvent)
-        : m_lifecycle(lifecycle), m_caller(caller), m_events(lastEvent) {}
+        : m_lifecycle(lifecycle), m_caller(caller), m_events(lastEvent), m_body(memory) {}
 
     // Sets what is called once, before the first event of the answer, or the first bytes of one
     // that is no stream of events, go to the caller; a head or comments alone do not count.
@@ -45,9 +54,9 @@
     void setBeginHandler(std::function<void()> handler) { m_onBegin = std::move(handler); }
 
     // Reads the answer whose head `exchange` has, and passes on what may be, by AnswerHeadRule.
-    // `inPieces`: a good answer is passed on as it arrives. `until`: a whole answer is waited for
-    // so long at least. Preconditions: the exchange read a head.
-    Task<RelayEnd> relay(UpstreamExchange& exchange, bool inPieces, MonoTime until,
+    // `until`: a whole answer is waited for so long at least. Preconditions: the exchange read a
+    // head.
+    Task<RelayEnd> relay(UpstreamExchange& exchange, const RelayRules& rules, MonoTime until,
                          const ReadDeadlines& deadlines);
 
     // Sends what is left: the end of a stream, or the whole answer that was kept last.
@@ -61,6 +70,9 @@
     bool mayContinue() const {
         return m_delivered == Delivered::kEvents && m_events.isPlaceKnown();
     }
+    // Whether the caller has an answer to its end, which was passed on in pieces.
+    // Preconditions: none.
+    bool callerHasAll() const { return m_callerHasAll; }
     // Events up to this one are with the caller. Preconditions: none.
     std::optional<uint64_t> lastEvent() const { return m_events.lastEvent(); }
     // When the first byte of an answer went to the caller, if one did. Preconditions: none.
@@ -82,9 +94,14 @@
         bool outOfOrder = false;  // An event followed that cannot be passed on.
     };
 
-    Task<RelayEnd> relayWhole(UpstreamExchange& exchange, AttemptEnd judged, MonoTime until);
+    Task<RelayEnd> relayWhole(UpstreamExchange& exchange, AttemptEnd judged,
+                              const RelayRules& rules, MonoTime until,
+                              const ReadDeadlines& deadlines);
     Task<RelayEnd> relayEvents(UpstreamExchange& exchange, const ReadDeadlines& deadlines);
-    Task<RelayEnd> relayPieces(UpstreamExchange& exchange, const ReadDeadlines& deadlines);
+    // Passes on `begun`, which was read already, and the rest. `judged`: how the attempt ends once
+    // all of it is with the caller.
+    Task<RelayEnd> relayPieces(UpstreamExchange& exchange, AttemptEnd judged, std::string begun,
+                               const ReadDeadlines& deadlines);
     // The events that `bytes` complete and that the caller does not have yet.
     NewEvents newEvents(EventStream& stream, std::string_view bytes);
     void noteBegun();
@@ -97,7 +114,9 @@
     std::function<void()> m_onBegin;  // Empty once it was called.
     Delivered m_delivered = Delivered::kNothing;
     std::optional<MonoTime> m_firstByteAt;
-    std::string m_wholeAnswer;  // As it goes to the caller.
+    bool m_callerHasAll = false;
+    CollectedBody m_body;       // Of the answer that is kept for finish().
+    std::string m_wholeAnswer;  // That answer, as it goes to the caller.
     unsigned m_wholeStatus = 0;
     unsigned m_status = 0;
 };
--- a/include/request/Attempt.h
+++ b/include/request/Attempt.h
@@ -41,6 +41,7 @@
 
 private:
     Task<RelayEnd> exchange();
+    void finishExchange(AttemptEnd end);
     Task<bool> connect();
     std::string requestText() const;
     MonoTime firstByteDeadline() const;
--- a/include/request/RequestContext.h
+++ b/include/request/RequestContext.h
@@ -11,6 +11,7 @@
 #include "include/peers/RolloutController.h"
 #include "include/peers/RoomController.h"
 #include "include/peers/StreamController.h"
+#include "include/request/AnswerMemory.h"
 #include "include/request/PlaceAttempt.h"
 #include "include/request/QuarantineController.h"
 #include "include/request/ReachMonitor.h"
@@ -43,6 +44,7 @@
     ReachMonitor& reach;
     RelayController& relays;
     RoomController& room;
+    AnswerMemory answerMemory{};
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -43,7 +43,7 @@
     // Errors: kUnavailable if it has ended. Preconditions: called once.
     Result<bool> adopt(Tcp::socket socket, const ConnectionBounds& bounds);
 
-    // Sends `message` and reads the head of the answer that carries this request's id. Other
+    // Sends `message` and reads the head of the answer that carries this request's id. A few other
     // answers, which nobody waits for any more, are passed over.
     // Preconditions: connect() succeeded; called once.
     Task<AnswerRead> send(std::string message, MonoTime until);
@@ -51,6 +51,13 @@
     // Reads more of the body into `piece`. Preconditions: send() ended with kPart.
     Task<AnswerRead> read(std::string& piece, MonoTime until);
 
+    // Whether the answer's body has not been read to its end. Preconditions: none.
+    bool hasRest() const;
+
+    // Reads the rest of the body and drops it, up to a bound on its size. Returns kComplete, or why
+    // it did not come to its end; kPart: it is too large. Preconditions: send() ended with kPart.
+    Task<AnswerRead> skipBody(MonoTime until);
+
     // Gives up: the connection is reset, so that the upstream sees it, and gets no bytes that are
     // still on their way to it. Preconditions: none.
     void cancel();
@@ -85,8 +92,8 @@
     bool isClean() const;
     bool keep();
     Task<AnswerRead> readHead(MonoTime until);
-    Task<AnswerRead> skipBody(MonoTime until);
     AnswerRead endOf(const boost::system::error_code& ec);
+    bool isLate(MonoTime until) const;
     bool isOurs() const;
     void noteEnd(ConnectionEnd end);
 
--- a/include/state/UpstreamPool.h
+++ b/include/state/UpstreamPool.h
@@ -16,10 +16,14 @@
 
 // One connection. Whoever took it owns it alone.
 struct UpstreamConnection {
+    // Bytes that are read ahead of the parser, which wants all of a head, of a chunk's header or of
+    // the trailers at once.
+    static constexpr size_t kMaxBuffered = size_t{16} * 1024;
+
     explicit UpstreamConnection(const asio::any_io_executor& executor) : stream(executor) {}
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxBuffered};
     MonoTime lastUsed;
     Millis keepAlive = 0;  // The upstream closes it after idle so long; 0: it does not say.
 };
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -108,6 +108,9 @@
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    // Bytes that are read ahead of the parser.
+    static constexpr size_t kMaxBuffered = size_t{64} * 1024;
+
     struct Answer {
         unsigned status = 0;
         std::string body;
@@ -151,7 +154,7 @@
     StoreWatchSettings m_settings;
     Sink m_sink;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{kMaxBuffered};
     asio::steady_timer m_wake;                        // Cancelled when a call may be allowed.
     StoreCallCause m_cause = StoreCallCause::kStart;  // Of the next call.
     bool m_copyWanted = true;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -137,6 +137,7 @@
 }
 
 Task<Result<HttpAnswer>> HttpClient::call(Endpoint peer, HttpOutgoing request, Millis timeout) {
+    const MonoTime until = ReadClocks().mono + timeout;
     auto opened = co_await open(peer, std::move(request), timeout);
     if (opened.has_error()) {
         co_return std::move(opened).error();
@@ -144,7 +145,11 @@
     const std::shared_ptr<HttpStream> stream = opened.value();
     HttpAnswer answer = stream->head();
     while (true) {
-        auto piece = co_await stream->read(timeout);
+        const Millis left = until - ReadClocks().mono;
+        if (left <= 0) {
+            co_return Error{ErrorCode::kTimeout, "http.read", EndpointText(peer), "too late"};
+        }
+        auto piece = co_await stream->read(left);
         if (piece.has_error()) {
             co_return std::move(piece).error();
         }
@@ -152,6 +157,10 @@
             co_return answer;
         }
         answer.body += *piece.value();
+        if (answer.body.size() > kMaxBody) {
+            co_return Error{ErrorCode::kProtocol, "http.read", EndpointText(peer),
+                            "the body is too long"};
+        }
     }
 }
 
--- a/src/relay/AnswerHeadRule.cpp
+++ b/src/relay/AnswerHeadRule.cpp
@@ -52,9 +52,12 @@
         return JudgeContinuation(head);
     }
     const AttemptEnd end = EndOfFirstAnswer(head);
-    if (end != AttemptEnd::kAnswered) {
+    if (end == AttemptEnd::kFailed) {
         return {end, BodyUse::kWhole};
     }
+    if (end != AttemptEnd::kAnswered) {
+        return {end, BodyUse::kDiscard};
+    }
     if (inPieces && IsSuccess(head.status)) {
         return {end, head.isEventStream ? BodyUse::kEvents : BodyUse::kPieces};
     }
--- a/src/relay/EventStream.cpp
+++ b/src/relay/EventStream.cpp
@@ -65,7 +65,9 @@
             break;
         }
         const std::string_view event = text.substr(0, end);
-        events.push_back({std::string(event), ParseEventId(event), HasDataField(event), isWhole});
+        events.push_back({std::string(event), ParseEventId(event), HasDataField(event),
+                          isWhole && !m_inLongEvent});
+        m_inLongEvent = !isWhole;
         taken += end;
     }
     m_incomplete.erase(0, taken);
--- a/src/request/AnswerRelay.cpp
+++ b/src/request/AnswerRelay.cpp
@@ -35,17 +35,22 @@
 
 }  // namespace
 
-Task<RelayEnd> AnswerRelay::relay(UpstreamExchange& exchange, bool inPieces, MonoTime until,
-                                  const ReadDeadlines& deadlines) {
-    const HeadVerdict verdict = JudgeAnswerHead(HeadOf(exchange), inPieces, headSent());
+Task<RelayEnd> AnswerRelay::relay(UpstreamExchange& exchange, const RelayRules& rules,
+                                  MonoTime until, const ReadDeadlines& deadlines) {
+    const HeadVerdict verdict = JudgeAnswerHead(HeadOf(exchange), rules.inPieces, headSent());
+    // What an earlier attempt brought is not the last word any more.
+    m_wholeAnswer = std::string();
+    m_body.clear();
     switch (verdict.use) {
         case BodyUse::kEvents:
             co_return co_await relayEvents(exchange, deadlines);
-        case BodyUse::kPieces:
-            co_return co_await relayPieces(exchange, deadlines);
+        case BodyUse::kPieces: {
+            std::string begun;
+            co_return co_await relayPieces(exchange, verdict.end, std::move(begun), deadlines);
+        }
         case BodyUse::kWhole: {
             const MonoTime bodyUntil = std::max(until, deadlines.next());
-            co_return co_await relayWhole(exchange, verdict.end, bodyUntil);
+            co_return co_await relayWhole(exchange, verdict.end, rules, bodyUntil, deadlines);
         }
         case BodyUse::kDiscard:
             break;
@@ -54,10 +59,11 @@
 }
 
 // Reads the answer to its end and keeps it as text; it is delivered when it is known to be the
-// last word.
+// last word. One that is too large to be kept is passed on at once, unless it is a failure after
+// which another upstream may try.
 Task<RelayEnd> AnswerRelay::relayWhole(UpstreamExchange& exchange, AttemptEnd judged,
-                                       MonoTime until) {
-    std::string body;
+                                       const RelayRules& rules, MonoTime until,
+                                       const ReadDeadlines& deadlines) {
     std::string piece;
     while (true) {
         const AnswerRead end = co_await exchange.read(piece, until);
@@ -65,17 +71,22 @@
             break;
         }
         if (end != AnswerRead::kPart) {
-            const bool ranNot =
-                judged == AttemptEnd::kDeclined || judged == AttemptEnd::kMisdirected;
-            co_return RelayEnd{ranNot ? judged : AttemptEnd::kUnclear, end == AnswerRead::kTimeout};
+            co_return RelayEnd{AttemptEnd::kUnclear, end == AnswerRead::kTimeout};
         }
-        body += piece;
-    }
-    if (judged == AttemptEnd::kAnswered || judged == AttemptEnd::kFailed) {
-        m_wholeStatus = exchange.head().result_int();
-        const HttpFields fields = PassedFields(exchange.head());
-        m_wholeAnswer = AnswerText(exchange.head(), fields, body, m_lifecycle.draining());
+        if (m_body.append(piece)) {
+            continue;
+        }
+        if (judged == AttemptEnd::kFailed && !rules.isLastAttempt) {
+            m_body.clear();
+            co_return RelayEnd{AttemptEnd::kUnclear, false};
+        }
+        std::string begun = m_body.take() + piece;
+        m_body.clear();
+        co_return co_await relayPieces(exchange, judged, std::move(begun), deadlines);
     }
+    m_wholeStatus = exchange.head().result_int();
+    const HttpFields fields = PassedFields(exchange.head());
+    m_wholeAnswer = AnswerText(exchange.head(), fields, m_body.take(), m_lifecycle.draining());
     co_return RelayEnd{judged, false};
 }
 
@@ -88,7 +99,7 @@
     while (true) {
         const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
         const AnswerRead end = co_await exchange.read(piece, until);
-        if (end == AnswerRead::kComplete && stream.incomplete().empty()) {
+        if (end == AnswerRead::kComplete && stream.isBetweenEvents()) {
             const bool begun = headSent() || co_await sendHead(exchange.head(), Delivered::kEvents);
             co_return RelayEnd{begun ? AttemptEnd::kAnswered : AttemptEnd::kStreamBroken, false};
         }
@@ -109,25 +120,28 @@
 }
 
 // Passes a body on as it arrives. None of it can come from another upstream.
-Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange,
-                                        const ReadDeadlines& deadlines) {
-    std::string piece;
-    while (true) {
-        const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
-        const AnswerRead end = co_await exchange.read(piece, until);
-        if (end == AnswerRead::kComplete) {
-            const bool begun = headSent() || co_await sendHead(exchange.head(), Delivered::kBody);
-            co_return RelayEnd{begun ? AttemptEnd::kAnswered : AttemptEnd::kStreamBroken, false};
-        }
-        if (end != AnswerRead::kPart) {
-            co_return RelayEnd{headSent() ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
-                               end == AnswerRead::kTimeout};
-        }
-        noteBegun();
-        if (!co_await pass(exchange.head(), Delivered::kBody, piece)) {
-            co_return RelayEnd{AttemptEnd::kStreamBroken, false};
+Task<RelayEnd> AnswerRelay::relayPieces(UpstreamExchange& exchange, AttemptEnd judged,
+                                        std::string begun, const ReadDeadlines& deadlines) {
+    std::string piece = std::move(begun);
+    AnswerRead end = AnswerRead::kPart;
+    while (end == AnswerRead::kPart) {
+        if (!piece.empty()) {
+            if (judged == AttemptEnd::kAnswered) {
+                noteBegun();
+            }
+            if (!co_await pass(exchange.head(), Delivered::kBody, piece)) {
+                co_return RelayEnd{AttemptEnd::kStreamBroken, false};
+            }
         }
+        const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
+        end = co_await exchange.read(piece, until);
+    }
+    if (end != AnswerRead::kComplete) {
+        co_return RelayEnd{headSent() ? AttemptEnd::kStreamBroken : AttemptEnd::kUnclear,
+                           end == AnswerRead::kTimeout};
     }
+    m_callerHasAll = headSent() || co_await sendHead(exchange.head(), Delivered::kBody);
+    co_return RelayEnd{m_callerHasAll ? judged : AttemptEnd::kStreamBroken, false};
 }
 
 AnswerRelay::NewEvents AnswerRelay::newEvents(EventStream& stream, std::string_view bytes) {
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -10,6 +10,23 @@
 namespace {
 
 constexpr Millis kNoIdleConnection = -1;
+constexpr Millis kDropTime = 1000;  // For the rest of a body that no caller gets.
+
+// Reads the rest of an answer whose head has decided the attempt. If it ends soon, its connection
+// can be kept; an upstream that sends it without an end is not sound, whatever the head says.
+Task<> DropRest(RequestContext& context, std::shared_ptr<UpstreamExchange> exchange) {
+    const MonoTime start = ReadClocks().mono;
+    const AnswerRead end = co_await exchange->skipBody(start + kDropTime);
+    exchange->finish();
+    const Upstream& upstream = exchange->upstream();
+    if (end != AnswerRead::kPart || context.records.isSuperseded(upstream.incarnation())) {
+        co_return;
+    }
+    if (context.records.recordSignal(upstream.id, HealthSignal::kSilent, start,
+                                     ReadClocks().mono)) {
+        context.log.ejected(upstream.id, AttemptEnd::kUnclear);
+    }
+}
 
 }  // namespace
 
@@ -30,7 +47,7 @@
         m_place.upstream.incarnation(), [exchange = m_exchange] { exchange->cancel(); });
     const RelayEnd ended = co_await exchange();
     m_caller.unwatch();
-    m_exchange->finish();
+    finishExchange(ended.end);
     m_context.records.endAttempt(attempt);
     noteHealth(ended.end);
     AttemptReport report;
@@ -55,6 +72,15 @@
     co_return report;
 }
 
+void Attempt::finishExchange(AttemptEnd end) {
+    const bool ranNot = end == AttemptEnd::kDeclined || end == AttemptEnd::kMisdirected;
+    if (ranNot && m_exchange->hasRest()) {
+        Spawn(m_context.io.get_executor(), DropRest(m_context, m_exchange));
+    } else {
+        m_exchange->finish();
+    }
+}
+
 // An answer that is passed on whole has its first byte for the caller at its end.
 std::optional<Millis> Attempt::timeToFirstByte(AttemptEnd end, Millis took) const {
     const auto at = m_relay.firstByteAt();
@@ -88,7 +114,8 @@
     learnFromHead();
     const ReadDeadlines deadlines{[this] { return firstByteDeadline(); },
                                   [this] { return nextPieceDeadline(); }};
-    co_return co_await m_relay.relay(*m_exchange, admission.route->stream, until, deadlines);
+    const RelayRules rules{admission.route->stream, !m_request.attempts.mayRetryUnanswered()};
+    co_return co_await m_relay.relay(*m_exchange, rules, until, deadlines);
 }
 
 // Opens the connection; false if the attempt is not to be sent. Time goes by meanwhile: what this
--- a/src/request/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr size_t kReadSize = size_t{8} * 1024;  // Bytes of one read.
+// Bytes that the parser has not taken, since it wants all of a chunk's header or of the trailers.
+constexpr size_t kMaxUnparsed = size_t{64} * 1024;
 // Times in milliseconds. For the body of a request: the most that a slow line needs.
 constexpr Millis kBodyTimeout = 15000;
 // For the caller to read the last answer before the connection is closed.
@@ -159,6 +161,11 @@
     while (!parse(parser, result)) {
         const bool head = parser.is_header_done();
         const MonoTime until = start + (head ? kBodyTimeout : limits.headerTimeout);
+        if (m_buffer.size() > std::max(kMaxUnparsed, limits.headerBytes)) {
+            result.end = ReadEnd::kTooLarge;
+            result.problem = "a chunk's header or the trailers are too long";
+            co_return result;
+        }
         if (!co_await readMore(until)) {
             result.end = m_gone || m_waitStopped ? ReadEnd::kClosed : ReadEnd::kSlow;
             co_return result;
--- a/src/request/JudgeStep.cpp
+++ b/src/request/JudgeStep.cpp
@@ -12,7 +12,7 @@
 
 AttemptFacts JudgeStep::factsOf(bool timeLeft) const {
     const AnswerRelay& answer = *m_progress.answer;
-    return {timeLeft, answer.headSent(), answer.mayContinue()};
+    return {timeLeft, answer.headSent(), answer.mayContinue(), answer.callerHasAll()};
 }
 
 Verdict JudgeStep::judge(AttemptEnd end) {
--- a/src/request/RelayAttempt.cpp
+++ b/src/request/RelayAttempt.cpp
@@ -81,9 +81,9 @@
         co_return report;
     }
     // The other box passes large answers on without their length; they are not collected here.
-    const bool pieces = m_request.admission.route->stream || !m_exchange->length();
+    const RelayRules rules{m_request.admission.route->stream || !m_exchange->length(), true};
     const ReadDeadlines deadlines{[this] { return deadline(); }, [this] { return deadline(); }};
-    const RelayEnd end = co_await m_relay.relay(*m_exchange, pieces, deadline(), deadlines);
+    const RelayEnd end = co_await m_relay.relay(*m_exchange, rules, deadline(), deadlines);
     report.end = end.end;
     report.timedOut =
         end.timedOut || m_exchange->head().result_int() == HttpStatus::kGatewayTimeout;
--- a/src/request/RequestHandler.cpp
+++ b/src/request/RequestHandler.cpp
@@ -42,7 +42,8 @@
     if (m_request.facts.id.empty()) {
         return MakeRefusal(RefusalReason::kNoRequestId);
     }
-    m_progress.answer.emplace(m_context.lifecycle, m_caller, m_request.facts.lastEventId);
+    m_progress.answer.emplace(m_context.lifecycle, m_context.answerMemory, m_caller,
+                              m_request.facts.lastEventId);
     m_progress.answer->setBeginHandler([this] {
         m_stream.noteBegun();
         if (m_progress.isAtUpstream) {
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -20,6 +20,17 @@
 namespace {
 
 constexpr size_t kPieceSize = size_t{16} * 1024;  // Bytes of one read of a body.
+// Answers that are passed over while one is awaited, interim ones among them, and the bytes of
+// their bodies and of one that is discarded. An upstream that sends more is not waited for.
+constexpr int kMaxOtherAnswers = 16;
+constexpr size_t kMaxSkippedBytes = size_t{256} * 1024;
+
+// Whether the bytes that came are no answer. The peer has not ended the connection then.
+bool IsMalformed(const beast::error_code& ec) {
+    const beast::error_code any = http::error::bad_version;
+    return ec.category() == any.category() && ec != http::error::end_of_stream &&
+           ec != http::error::partial_message;
+}
 
 std::chrono::milliseconds Left(MonoTime until) {
     const Millis left = until - ReadClocks().mono;
@@ -144,11 +155,14 @@
     m_connection->stream.expires_after(Left(until));
     write(std::move(message));
     awaitDelivery();
-    while (true) {
+    for (int passedOver = 0; passedOver < kMaxOtherAnswers; ++passedOver) {
         const AnswerRead end = co_await readHead(until);
         if (end != AnswerRead::kPart || isOurs()) {
             co_return end;
         }
+        if (head().result_int() < HttpStatus::kFirstFinal) {
+            continue;  // An interim answer, which has no body.
+        }
         m_spoiled = true;
         logEvent(Event::kAnswerCrossed,
                  {{"request", m_requestId}, {"upstream", m_upstream.id}, {"answers", m_facts.id}});
@@ -157,6 +171,9 @@
             co_return skipped == AnswerRead::kTimeout ? AnswerRead::kTimeout : AnswerRead::kBroken;
         }
     }
+    m_spoiled = true;
+    noteEnd(ConnectionEnd::kReset);
+    co_return AnswerRead::kBroken;
 }
 
 // An answer names the request that it belongs to; one that declines may name none.
@@ -170,6 +187,9 @@
 Task<AnswerRead> UpstreamExchange::readHead(MonoTime until) {
     m_parser = std::make_unique<Parser>();
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+    if (isLate(until)) {
+        co_return endOf(beast::error::timeout);
+    }
     auto& connection = *m_connection;
     connection.stream.expires_after(Left(until));
     beast::error_code ec;
@@ -182,6 +202,11 @@
     co_return AnswerRead::kPart;
 }
 
+// Bytes that keep coming would be read for as long as they do, since no read waits for them.
+bool UpstreamExchange::isLate(MonoTime until) const {
+    return ReadClocks().mono > until;
+}
+
 // What a read that failed says of the answer, and of the network to the upstream.
 AnswerRead UpstreamExchange::endOf(const beast::error_code& ec) {
     if (m_cancelled) {
@@ -190,7 +215,7 @@
     m_spoiled = true;
     // The system's own word, from ConnectionBounds or keep-alive probes; Beast's is another.
     m_unreachable = ec == asio::error::timed_out;
-    const bool byUs = ec == beast::error::timeout;
+    const bool byUs = ec == beast::error::timeout || IsMalformed(ec);
     noteEnd(m_unreachable ? ConnectionEnd::kSystem
             : byUs        ? ConnectionEnd::kReset
                           : ConnectionEnd::kPeer);
@@ -199,17 +224,28 @@
 
 Task<AnswerRead> UpstreamExchange::skipBody(MonoTime until) {
     std::string piece;
+    size_t skipped = 0;
     while (true) {
         const AnswerRead end = co_await read(piece, until);
-        if (end != AnswerRead::kPart) {
+        skipped += piece.size();
+        if (end != AnswerRead::kPart || skipped > kMaxSkippedBytes) {
             co_return end;
         }
     }
 }
 
+bool UpstreamExchange::hasRest() const {
+    return m_connection && !m_cancelled && !m_spoiled && m_parser && m_parser->is_header_done() &&
+           !m_parser->is_done();
+}
+
 Task<AnswerRead> UpstreamExchange::read(std::string& piece, MonoTime until) {
     piece.clear();
     while (!m_parser->is_done()) {
+        if (isLate(until)) {
+            piece.clear();
+            co_return endOf(beast::error::timeout);
+        }
         piece.resize(kPieceSize);
         auto& body = m_parser->get().body();
         body.data = piece.data();
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 constexpr Millis kConnectTimeout = 1000;  // One lost packet of the opening is sent again.
-// Far above any list; bounds what a broken answer can cost.
-constexpr uint64_t kMaxAnswerBytes = uint64_t{64} << 20;
+// Several times the largest part in which the stores so far return a list or changes.
+constexpr uint64_t kMaxAnswerBytes = uint64_t{8} << 20;
 // In milliseconds. A revision this old can still be watched from: well within the shortest history
 // of the stores so far (20 s).
 constexpr Millis kRecent = 5000;
--- a/tests/AnswerHeadRuleTest.cpp
+++ b/tests/AnswerHeadRuleTest.cpp
@@ -46,6 +46,18 @@
     CHECK(JudgeAnswerHead(Signed(503, false), true, true).end == AttemptEnd::kUnclear);
 }
 
+// The body of an answer that no caller gets was read to its end.
+TEST_CASE("A body that cannot go to the caller is discarded") {
+    AnswerHead head = Signed(503, false);
+    CHECK(JudgeAnswerHead(head, false, false).use == BodyUse::kDiscard);
+    head.declined = true;
+    CHECK(JudgeAnswerHead(head, false, false).use == BodyUse::kDiscard);
+    head = Signed(200, false);
+    head.authentic = false;
+    CHECK(JudgeAnswerHead(head, true, false).use == BodyUse::kDiscard);
+    CHECK(JudgeAnswerHead(Signed(500, false), false, false).use == BodyUse::kWhole);
+}
+
 TEST_CASE("The first answer is passed on by its kind and its size") {
     CHECK(JudgeAnswerHead(Signed(200, true), true, false).use == BodyUse::kEvents);
     CHECK(JudgeAnswerHead(Signed(200, false), true, false).use == BodyUse::kPieces);
--- a/tests/EventStreamTest.cpp
+++ b/tests/EventStreamTest.cpp
@@ -38,6 +38,21 @@
     CHECK(stream.incomplete().empty());
 }
 
+TEST_CASE("A stream is between events only after the end of one, also of one returned in pieces") {
+    EventStream stream;
+    CHECK(stream.isBetweenEvents());
+    const std::string part(EventStream::kMaxEventBytes + 1, 'x');
+    const auto pieces = stream.feed("data: " + part);
+    REQUIRE(pieces.size() == 1);
+    CHECK_FALSE(pieces[0].isWhole);
+    CHECK_FALSE(stream.isBetweenEvents());
+    const auto rest = stream.feed("end\n\ndata: y\n\n");
+    REQUIRE(rest.size() == 2);
+    CHECK_FALSE(rest[0].isWhole);
+    CHECK(rest[1].isWhole);
+    CHECK(stream.isBetweenEvents());
+}
+
 TEST_CASE("An event without a numeric id has no id") {
     EventStream stream;
     const auto events = stream.feed("data: a\n\nid: x\n\n");
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -86,3 +86,31 @@
     CHECK(answer->value().body == "ok");
     CHECK(server.end() == SocketPeek::kEnded);
 }
+
+// The body was read for as long as it came.
+TEST_CASE("A call whose answer has no end fails once its body is too long") {
+    asio::io_context io;
+    const Endpoint any(asio::ip::address_v4::loopback(), 0);
+    const auto flood = [](HttpExchange& exchange) -> Task<> {
+        const std::string piece(size_t{256} * 1024, 'p');
+        const HttpHeaders headers;
+        bool open = co_await exchange.startStream(200, headers, "text/plain");
+        while (open) {
+            open = co_await exchange.write(piece);
+        }
+    };
+    const auto server = HttpServer::Make(io, any, HttpLimits{}, flood);
+    REQUIRE(server.has_value());
+    std::optional<ErrorCode> seen;
+    HttpClient client(io.get_executor());
+    const auto call = [&]() -> Task<> {
+        HttpOutgoing request;
+        const auto answer =
+            co_await client.call(server.value()->endpoint(), std::move(request), 20000);
+        seen = answer.has_error() ? answer.error().code : ErrorCode::kUnknown;
+        io.stop();
+    };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run();
+    CHECK(seen == ErrorCode::kProtocol);
+}
--- a/tests/RequestAttemptsTest.cpp
+++ b/tests/RequestAttemptsTest.cpp
@@ -123,6 +123,15 @@
     CHECK(verdict.reason == StepReason::kNotResumable);
 }
 
+TEST_CASE("A failure that the caller has to its end is delivered") {
+    AttemptFacts all;
+    all.callerHasHead = true;
+    all.mayContinue = false;
+    all.callerHasAll = true;
+    RequestAttempts attempts(AttemptRules{false, false, 1});
+    CHECK(attempts.ended(AttemptEnd::kFailed, all, [] { return true; }).step == NextStep::kDeliver);
+}
+
 TEST_CASE("The verdict contains the reason why a request is not retried") {
     const auto yes = [] { return true; };
     const auto no = [] { return false; };
