Decide about a long event once, and retry as before where nothing continues

Found by rereading the change: the pieces of an event that is too long to be buffered were decided about one by one, so that of an event which the caller had already, sent again by the upstream that continues the stream, the second piece was passed on (DeliveredEventsTest, new case, for which take() needs to know that a piece continues an event).

--- a/include/relay/DeliveredEvents.h
+++ b/include/relay/DeliveredEvents.h
@@ -41,8 +41,11 @@
     bool isPlaceKnown() const { return m_placeKnown; }
 
 private:
+    EventUse judge(const StreamEvent& event);
+
     std::optional<uint64_t> m_lastEvent;
     std::optional<uint64_t> m_lastOfAttempt;  // The last id of the current upstream's stream.
+    EventUse m_use = EventUse::kDeliver;      // Of the last event.
     bool m_placeKnown = true;
 };
 
--- a/include/relay/EventStream.h
+++ b/include/relay/EventStream.h
@@ -16,6 +16,7 @@
     std::optional<uint64_t> id;  // Absent if the event has no numeric id.
     bool hasData = false;        // It has a data field; comments alone are no event for callers.
     bool isWhole = true;
+    bool isContinuation = false;  // Of the event that the piece before it belongs to.
 };
 
 // Incremental parser of one stream. Not thread safe: one task owns it.
--- a/src/relay/DeliveredEvents.cpp
+++ b/src/relay/DeliveredEvents.cpp
@@ -3,9 +3,17 @@
 namespace onyx {
 
 EventUse DeliveredEvents::take(const StreamEvent& event) {
-    if (!event.isWhole || (!event.id && event.hasData)) {
+    if (!event.isContinuation) {
+        m_use = judge(event);
+    }
+    const bool hasNoPlace = !event.isWhole || (!event.id && event.hasData);
+    if (m_use == EventUse::kDeliver && hasNoPlace) {
         m_placeKnown = false;
     }
+    return m_use;
+}
+
+EventUse DeliveredEvents::judge(const StreamEvent& event) {
     if (!event.id) {
         return EventUse::kDeliver;
     }
--- a/src/relay/EventStream.cpp
+++ b/src/relay/EventStream.cpp
@@ -66,7 +66,7 @@
         }
         const std::string_view event = text.substr(0, end);
         events.push_back({std::string(event), ParseEventId(event), HasDataField(event),
-                          isWhole && !m_inLongEvent});
+                          isWhole && !m_inLongEvent, m_inLongEvent});
         m_inLongEvent = !isWhole;
         taken += end;
     }
--- a/src/relay/RequestAttempts.cpp
+++ b/src/relay/RequestAttempts.cpp
@@ -70,8 +70,8 @@
     if (m_mayHaveRun && !m_rules.repeatable) {
         return StepReason::kNotRepeatable;
     }
-    const bool continues = facts.callerHasHead || end == AttemptEnd::kStreamBroken;
-    if (continues && !(m_rules.resumable && facts.mayContinue)) {
+    const bool cannotContinue = facts.callerHasHead && !facts.mayContinue;
+    if (cannotContinue || (end == AttemptEnd::kStreamBroken && !m_rules.resumable)) {
         return StepReason::kNotResumable;
     }
     return StepReason::kMayRetry;
--- a/tests/DeliveredEventsTest.cpp
+++ b/tests/DeliveredEventsTest.cpp
@@ -41,6 +41,18 @@
     CHECK_FALSE(events.isPlaceKnown());
 }
 
+// The second piece of an event that the caller had already was passed on.
+TEST_CASE("The pieces of a long event share what becomes of it") {
+    DeliveredEvents events(5);
+    events.beginAttempt();
+    const uint64_t id = GENERATE(5, 6);
+    const EventUse use = id == 5 ? EventUse::kDuplicate : EventUse::kDeliver;
+    CHECK(events.take({"id", id, true, false, false}) == use);
+    CHECK(events.take({"middle", std::nullopt, false, false, true}) == use);
+    CHECK(events.take({"end", std::nullopt, false, false, true}) == use);
+    CHECK(events.isPlaceKnown() == (id == 5));
+}
+
 TEST_CASE("The place in a stream is unknown after data without an id or a part of an event") {
     DeliveredEvents events(std::nullopt);
     events.beginAttempt();
--- a/tests/EventStreamTest.cpp
+++ b/tests/EventStreamTest.cpp
@@ -49,6 +49,8 @@
     const auto rest = stream.feed("end\n\ndata: y\n\n");
     REQUIRE(rest.size() == 2);
     CHECK_FALSE(rest[0].isWhole);
+    CHECK(rest[0].isContinuation);
+    CHECK_FALSE(rest[1].isContinuation);
     CHECK(rest[1].isWhole);
     CHECK(stream.isBetweenEvents());
 }
