--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -93,7 +93,6 @@
     bool keep();
     Task<AnswerRead> readHead(MonoTime until);
     AnswerRead endOf(const boost::system::error_code& ec);
-    bool isLate(MonoTime until) const;
     bool isOurs() const;
     void noteEnd(ConnectionEnd end);
 
@@ -110,6 +109,7 @@
     bool m_cancelled = false;
     bool m_spoiled = false;  // Something unexpected came on the connection.
     bool m_unreachable = false;
+    int m_lateReads = 0;         // Reads of the body after the time for them.
     bool m_keepAliveOn = false;  // Keep-alive probes are sent.
 };
 
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -20,15 +20,17 @@
 namespace {
 
 constexpr size_t kPieceSize = size_t{16} * 1024;  // Bytes of one read of a body.
-// Answers that are passed over while one is awaited, interim ones among them, and the bytes of
-// their bodies and of one that is discarded. An upstream that sends more is not waited for.
+// Reads of a body, of kPieceSize at most, after the time for it.
+constexpr int kMaxLateReads = 16;
+// Answers that are passed over while one is awaited, interim ones among them, and the bytes of a
+// body that is dropped. An upstream that sends more is not waited for.
 constexpr int kMaxOtherAnswers = 16;
 constexpr size_t kMaxSkippedBytes = size_t{256} * 1024;
 
 // Whether the bytes that came are no answer. The peer has not ended the connection then.
 bool IsMalformed(const beast::error_code& ec) {
-    const beast::error_code any = http::error::bad_version;
-    return ec.category() == any.category() && ec != http::error::end_of_stream &&
+    const beast::error_code httpError = http::error::bad_version;
+    return ec.category() == httpError.category() && ec != http::error::end_of_stream &&
            ec != http::error::partial_message;
 }
 
@@ -187,9 +189,6 @@
 Task<AnswerRead> UpstreamExchange::readHead(MonoTime until) {
     m_parser = std::make_unique<Parser>();
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
-    if (isLate(until)) {
-        co_return endOf(beast::error::timeout);
-    }
     auto& connection = *m_connection;
     connection.stream.expires_after(Left(until));
     beast::error_code ec;
@@ -202,11 +201,6 @@
     co_return AnswerRead::kPart;
 }
 
-// Bytes that keep coming would be read for as long as they do, since no read waits for them.
-bool UpstreamExchange::isLate(MonoTime until) const {
-    return ReadClocks().mono > until;
-}
-
 // What a read that failed says of the answer, and of the network to the upstream.
 AnswerRead UpstreamExchange::endOf(const beast::error_code& ec) {
     if (m_cancelled) {
@@ -242,8 +236,8 @@
 Task<AnswerRead> UpstreamExchange::read(std::string& piece, MonoTime until) {
     piece.clear();
     while (!m_parser->is_done()) {
-        if (isLate(until)) {
-            piece.clear();
+        // What has arrived is read also late, but not for as long as more of it arrives.
+        if (ReadClocks().mono > until && ++m_lateReads > kMaxLateReads) {
             co_return endOf(beast::error::timeout);
         }
         piece.resize(kPieceSize);
