Count a collected body until its caller has taken it

A body that outgrew the bound of an exchange left the box's count before it was passed on, so that callers that read slowly could make a box hold more than its 16 MB.

--- a/src/request/AnswerRelay.cpp
+++ b/src/request/AnswerRelay.cpp
@@ -81,7 +81,6 @@
             co_return RelayEnd{AttemptEnd::kUnclear, false};
         }
         std::string begun = m_body.take() + piece;
-        m_body.clear();
         co_return co_await relayPieces(exchange, judged, std::move(begun), deadlines);
     }
     m_wholeStatus = exchange.head().result_int();
@@ -132,6 +131,8 @@
             if (!co_await pass(exchange.head(), Delivered::kBody, piece)) {
                 co_return RelayEnd{AttemptEnd::kStreamBroken, false};
             }
+            // What was collected counts until a caller that reads slowly has taken it.
+            m_body.clear();
         }
         const MonoTime until = headSent() ? deadlines.next() : deadlines.first();
         end = co_await exchange.read(piece, until);
