Let a collected body outlive the box whose memory it takes

The address sanitizer ended onyx-tests in "A planned stop: not ready at once, ...": heap-use-after-free in AnswerMemory::release, called by the destructor of a CollectedBody. No caller sees it: the write goes to freed memory of a box that is ending, where anything may follow.

Cause: the tasks of requests that are open when a box ends are destroyed by the io_context, after the Gateway. In the product a box whose drain ran out of time does the same.

Evidence: the sanitizer's stacks, of freeing (Gateway) and of use (io_context::~io_context, CallerServer::serve, AnswerRelay), on this machine too. Ruled out: a body used after its relay, since the relay was destroyed in the same stack.

The mend: bodies share the memory. Other destructors of these frames were not found to touch the box by the tests under the sanitizer.

Tests: "A box may end while it collects an answer" fails before under the sanitizer (the same report), passes now. "A collected body may outlive the box whose memory it takes" does not compile before.

--- a/include/request/AnswerRelay.h
+++ b/include/request/AnswerRelay.h
@@ -15,6 +15,7 @@
 #include "include/request/UpstreamExchange.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -42,11 +43,14 @@
 // One for each request. Not thread safe: one io_context, one task.
 class AnswerRelay {
 public:
-    // `lastEvent`: the caller has the events up to this one. Preconditions: the arguments outlive
-    // the relay.
-    AnswerRelay(const Lifecycle& lifecycle, AnswerMemory& memory, CallerConnection& caller,
-                std::optional<uint64_t> lastEvent)
-        : m_lifecycle(lifecycle), m_caller(caller), m_events(lastEvent), m_body(memory) {}
+    // `lastEvent`: the caller has the events up to this one. Preconditions: `memory` is not null;
+    // the references outlive the relay.
+    AnswerRelay(const Lifecycle& lifecycle, std::shared_ptr<AnswerMemory> memory,
+                CallerConnection& caller, std::optional<uint64_t> lastEvent)
+        : m_lifecycle(lifecycle),
+          m_caller(caller),
+          m_events(lastEvent),
+          m_body(std::move(memory)) {}
 
     // Sets what is called once, before the first event of the answer, or the first bytes of one
     // that is no stream of events, go to the caller; a head or comments alone do not count.
--- a/include/request/CollectedBody.h
+++ b/include/request/CollectedBody.h
@@ -4,18 +4,20 @@
 
 #include "include/request/AnswerMemory.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
 namespace onyx {
 
-// Owns its bytes, and their part of the box's memory until it is cleared or destroyed. Not thread
-// safe: one io_context, one task.
+// Owns its bytes, and their part of the box's memory until it is cleared or destroyed. Shares the
+// memory, since the io_context destroys the tasks that are left after the box. Not thread safe: one
+// io_context, one task.
 class CollectedBody {
 public:
-    // Preconditions: the memory outlives the body.
-    explicit CollectedBody(AnswerMemory& memory) : m_memory(memory) {}
+    // Preconditions: `memory` is not null.
+    explicit CollectedBody(std::shared_ptr<AnswerMemory> memory) : m_memory(std::move(memory)) {}
     CollectedBody(const CollectedBody&) = delete;
     CollectedBody& operator=(const CollectedBody&) = delete;
     ~CollectedBody() { clear(); }
@@ -31,7 +33,7 @@
     void clear();
 
 private:
-    AnswerMemory& m_memory;
+    std::shared_ptr<AnswerMemory> m_memory;
     std::string m_bytes;
     size_t m_taken = 0;  // Of the memory.
 };
--- a/include/request/RequestContext.h
+++ b/include/request/RequestContext.h
@@ -21,6 +21,7 @@
 #include "include/state/UpstreamList.h"
 #include "include/state/UpstreamRecords.h"
 
+#include <memory>
 #include <random>
 
 namespace onyx {
@@ -44,7 +45,7 @@
     ReachMonitor& reach;
     RelayController& relays;
     RoomController& room;
-    AnswerMemory answerMemory{};
+    std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/src/request/CollectedBody.cpp
+++ b/src/request/CollectedBody.cpp
@@ -5,7 +5,7 @@
 namespace onyx {
 
 bool CollectedBody::append(std::string_view piece) {
-    if (m_taken + piece.size() > kMaxWholeBody || !m_memory.tryTake(piece.size())) {
+    if (m_taken + piece.size() > kMaxWholeBody || !m_memory->tryTake(piece.size())) {
         return false;
     }
     m_taken += piece.size();
@@ -14,7 +14,7 @@
 }
 
 void CollectedBody::clear() {
-    m_memory.release(std::exchange(m_taken, 0));
+    m_memory->release(std::exchange(m_taken, 0));
     m_bytes = std::string();
 }
 
