Start a killed box again only once it has ended

Cause, by these times and not reproduced: kill returns before the process has ended, and its listening sockets close with its end; the test started the new box on the same ports at once. It waits for the end now, as drain_all.sh does.

--- a/modules/standalone/tests/process/platform_outage.sh
+++ b/modules/standalone/tests/process/platform_outage.sh
@@ -15,6 +15,8 @@
 
 echo "a box is replaced in the outage"
 kill -KILL "${PIDS[bio-hall-3]}" "${AGENT_PIDS[bio-hall-3]}"
+# It holds its ports until it has ended.
+wait_for 5 bash -c "! kill -0 ${PIDS[bio-hall-3]} 2>/dev/null"
 SITE_ROUTER_SETTINGS="${SITE_ROUTER_SETTINGS/\[peers\]/[peers]
 seeds = [\"${PEERS[bio-hall-1]}\"]}"
 start_router bio-hall-3
