Say in three comments what holds, not how it came about

The bound on a call to the store told how it was chosen; whom a collected body outlives had to be read twice; a service is returned in proportion to its weight. Comments only.

--- a/include/request/CollectedBody.h
+++ b/include/request/CollectedBody.h
@@ -11,9 +11,9 @@
 
 namespace onyx {
 
-// Owns its bytes, and their part of the box's memory until it is cleared or destroyed. Shares the
-// memory, since the io_context destroys the tasks that are left after the box. Not thread safe: one
-// io_context, one task.
+// Owns its bytes, and their part of the box's memory until it is cleared or destroyed. Shares that
+// memory: the io_context outlives the box, and destroys the requests that are still open.
+// Not thread safe: one io_context, one task.
 class CollectedBody {
 public:
     // Preconditions: `memory` is not null.
--- a/include/routing/Catalog.h
+++ b/include/routing/Catalog.h
@@ -119,7 +119,8 @@
     std::unordered_map<std::string, const ServiceSpec*> m_services;
 };
 
-// Returns one of the route's services, picked by weight. `randomValue`: a random number.
+// Returns one of the route's services, each in proportion to its weight. `randomValue`: a random
+// number.
 // Preconditions: the route has a service. Thread safety: any thread.
 const ServiceId& PickService(const Route& route, uint64_t randomValue);
 
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr Millis kConnectTimeout = 1000;  // One lost packet of the opening is sent again.
-// Several times the largest part in which the stores so far return a list or changes.
+// Bounds the memory that a call takes, whatever the store sends.
 constexpr uint64_t kMaxAnswerBytes = uint64_t{8} << 20;
 // In milliseconds. A revision this old can still be watched from: well within the shortest history
 // of the stores so far (20 s).
