Bound the connections and bodies of the readiness and metrics listeners

Cause: both listeners took bodies of 4 MiB and as many connections as came, each for 60 s, so whoever reaches them can take a box's memory and descriptors without the callers' port.

A listener now has 64 connections at most, the oldest is closed for a new one, and bodies of 1 KB. The balancer asks once a second and opens a new connection where its own was closed.

--- a/include/net/HttpServer.h
+++ b/include/net/HttpServer.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     Millis readTimeout = 10000;   // For the rest of a request once its first byte came.
     Millis idleTimeout = 60000;   // Between requests.
     Millis writeTimeout = 30000;  // For one write: a caller that does not read is dropped.
+    // Connections at once; for a further one the oldest is closed. 0: as many as come.
+    size_t connections = 0;
 };
 
 // One request that is being answered. Belongs to the connection's task; not thread safe.
@@ -101,8 +104,11 @@
     size_t active() const { return m_active; }
 
 private:
+    using OpenStreams = std::list<boost::beast::tcp_stream*>;
+
     HttpServer(Tcp::acceptor acceptor, const HttpLimits& limits, Handler handler);
     Task<> serve(Tcp::socket socket);
+    void makePlace();
     // Serves one request; false if the connection ends with it.
     Task<bool> serveOne(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
     Task<bool> awaitFirstByte(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
@@ -114,6 +120,8 @@
     HttpLimits m_limits;
     Handler m_handler;
     size_t m_active = 0;
+    // In the order in which they came. Shared, since tasks may be destroyed after the server.
+    std::shared_ptr<OpenStreams> m_open = std::make_shared<OpenStreams>();
 };
 
 }  // namespace onyx
--- a/src/gateway/StatusServer.cpp
+++ b/src/gateway/StatusServer.cpp
@@ -5,6 +5,14 @@
 
 namespace onyx {
 
+namespace {
+
+// Of one listener: the balancer's questions and the operators' need few connections, no bodies.
+constexpr size_t kMaxConnections = 64;
+constexpr size_t kMaxBody = 1024;  // In bytes.
+
+}  // namespace
+
 StatusServer::StatusServer(const GatewaySettings& settings, const Dialect& dialect,
                            const ConfigurationState& configuration, const Lifecycle& lifecycle,
                            Metrics& metrics, std::function<bool()> ready)
@@ -16,7 +24,9 @@
       m_ready(std::move(ready)) {}
 
 Result<bool> StatusServer::start(asio::io_context& io) {
-    const HttpLimits limits;
+    HttpLimits limits;
+    limits.body = kMaxBody;
+    limits.connections = kMaxConnections;
     BOOST_OUTCOME_TRY(m_readinessServer,
                       HttpServer::Make(io, m_settings.readiness, limits,
                                        [this](HttpExchange& e) { return answerReadiness(e); }));
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace onyx {
 
 namespace beast = boost::beast;
@@ -144,12 +146,29 @@
     beast::error_code ec;
     socket.set_option(Tcp::no_delay(true), ec);
     beast::tcp_stream stream(std::move(socket));
+    makePlace();
+    const std::shared_ptr<OpenStreams> open = m_open;
+    const auto place = open->insert(open->end(), &stream);
+    const std::shared_ptr<void> leave(nullptr, [open, place](void*) { open->erase(place); });
     beast::flat_buffer buffer;
     while (co_await serveOne(stream, buffer)) {
     }
     stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
 }
 
+// The task of a connection that is closed here leaves the list when it goes on.
+void HttpServer::makePlace() {
+    if (m_limits.connections == 0 || m_open->size() < m_limits.connections) {
+        return;
+    }
+    const auto oldest = std::find_if(m_open->begin(), m_open->end(),
+                                     [](auto* stream) { return stream->socket().is_open(); });
+    if (oldest != m_open->end()) {
+        beast::error_code ec;
+        (*oldest)->socket().close(ec);
+    }
+}
+
 Task<bool> HttpServer::awaitFirstByte(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
     if (buffer.size() > 0) {
         co_return true;
