Count what callers' requests hold, and hold each body once

Cause: a connection gathered a whole body in a string, which doubles as it grows, before anything looked at the request; each attempt copied it again; nothing counted the sum.

RequestMemory owns the box's memory for what callers send, 0.3 of the machine's (setting limits.memory_mb, 160 unless set). A body stands once, in blocks (RequestBody), and every attempt, also one at another box, writes these blocks: its memory is released with the last reference. An announced length is taken at once; chunks and read buffers larger than one read are taken as they grow. A quarter of the memory is for requests of at most 64 KB. Where memory is short, an unfinished request that got less than 16 KB in the last second gives way, the one with least progress first, and large unfinished ones give way to small ones; otherwise the new request is refused at once: 503 as not run, Retry-After 1 s. 413 stays for what is over the configured limit. What the head of a large request decides (400, 401, 404, 503) is decided before its body is read, and the connection is closed with the answer.

RequestMemoryTest replays a crowd of 1,000 without network: no small request is refused, and a large one is taken once the crowd has stalled.

--- a/include/admission/Refusal.h
+++ b/include/admission/Refusal.h
@@ -28,6 +28,7 @@
     kQuarantined,           // Upstreams crashed while running it, see RequestQuarantine.
     kPartQuarantined,       // The same while running requests with a part of its prompt.
     kStreamOriginUnknown,   // It takes up a stream, and no box knows which version began it.
+    kNoMemory,              // The box has no memory for it; see RequestMemory.
     kNoRoom,                // Its service has more requests than it can finish in time.
     kNoUpstream,            // No upstream accepted the request, and none ran it.
     kTimedOut,              // The last attempt timed out; the request may have run.
@@ -52,6 +53,8 @@
 // Other upstreams, or the same ones under less load, are available once the answers in progress are
 // complete.
 inline constexpr Millis kRetryAfterNoUpstreamMs = 200;
+// A request that has stalled for this long gives its memory up.
+inline constexpr Millis kRetryAfterNoMemoryMs = 1000;
 // A box gets a configuration from the store or from a peer within about this time.
 inline constexpr Millis kRetryAfterNoConfigurationMs = 500;
 // A box that did not reply may reply to another box, or the records reach it in the meantime.
--- a/include/base/Hash.h
+++ b/include/base/Hash.h
@@ -15,6 +15,10 @@
 // Returns the hash of `text`. Thread safety: any thread.
 uint64_t HashText(std::string_view text);
 
+// Returns the hash of the text whose parts `pieces` are: that of HashText() for the whole of it.
+// Thread safety: any thread.
+uint64_t HashPieces(std::span<const std::string_view> pieces);
+
 // Returns the lower 32 bits of the hash of `name`. Digests use it in place of the name of an
 // upstream or of a part of a prompt, since whole names would be too large. Thread safety: any
 // thread.
--- a/include/gateway/StatusServer.h
+++ b/include/gateway/StatusServer.h
@@ -3,6 +3,7 @@
 // Owns the two listening sockets and the readiness that was logged last.
 #pragma once
 
+#include "include/admission/RequestMemory.h"
 #include "include/dialect/Dialect.h"
 #include "include/lifecycle/Drain.h"
 #include "include/net/HttpServer.h"
@@ -22,7 +23,8 @@
     // Preconditions: all arguments but `ready` outlive the server.
     StatusServer(const GatewaySettings& settings, const Dialect& dialect,
                  const ConfigurationState& configuration, const Lifecycle& lifecycle,
-                 Metrics& metrics, std::function<bool()> ready);
+                 Metrics& metrics, std::shared_ptr<const RequestMemory> memory,
+                 std::function<bool()> ready);
 
     // Listens and begins to answer. Errors: kUnavailable if an address cannot be bound.
     // Preconditions: called once; the context outlives the server.
@@ -41,6 +43,7 @@
     const ConfigurationState& m_configuration;
     const Lifecycle& m_lifecycle;
     Metrics& m_metrics;
+    std::shared_ptr<const RequestMemory> m_memory;
     std::function<bool()> m_ready;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/include/health/RequestFingerprint.h
+++ b/include/health/RequestFingerprint.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,10 @@
 // Preconditions: none. Thread safety: any thread.
 uint64_t Fingerprint(const RequestIdentity& request);
 
+// The same for a body that is held in pieces: `pieces`, in order, stand in place of request.body.
+// Preconditions: none. Thread safety: any thread.
+uint64_t Fingerprint(const RequestIdentity& request, std::span<const std::string_view> pieces);
+
 // Returns the fingerprint of a part of a prompt, which all requests with that part have in common.
 // Preconditions: none. Thread safety: any thread.
 uint64_t PartFingerprint(std::string_view part);
--- a/include/request/AdmitStep.h
+++ b/include/request/AdmitStep.h
@@ -20,6 +20,9 @@
     // Decides when the request arrives. Returns why it is refused, nothing if it is admitted.
     // Preconditions: the head was read; called once.
     std::optional<Refusal> admitFirst();
+    // Decides by the head alone, before a large body is read. Returns why the request is refused.
+    // Preconditions: the head was read; admitFirst() is not called.
+    std::optional<Refusal> admitByHead();
     // Decides again: before each further attempt, so that a request that waited is not handled by
     // what is no longer in force, and for the service that began its stream. A refusal leaves the
     // admission before it as it is. `service`: that one; empty: any. Preconditions: as above.
@@ -29,6 +32,7 @@
     ConfigurationReport decidedOn() const;
 
 private:
+    std::optional<Refusal> decide(std::string_view service, MonoTime now);
     std::optional<Refusal> checkRelayed();
     std::optional<Refusal> checkRelayedService() const;
     std::optional<Refusal> checkQuarantine(MonoTime now);
@@ -36,6 +40,7 @@
     RequestContext& m_context;
     CallerRequest& m_request;
     std::optional<ConfigurationReport> m_decidedOn;
+    std::optional<Millis> m_catalogAge;  // At the last admission.
 };
 
 }  // namespace onyx
--- a/include/request/AnswerMemory.h
+++ b/include/request/AnswerMemory.h
@@ -5,6 +5,7 @@
 // send large bodies at the same time cannot exhaust the box's memory.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace onyx {
@@ -14,10 +15,13 @@
 public:
     static constexpr size_t kMaxBytes = size_t{16} << 20;  // Of one box.
 
+    // `bytes`: what all exchanges may hold; kMaxBytes at most. Preconditions: none.
+    explicit AnswerMemory(size_t bytes = kMaxBytes) : m_bytes(std::min(bytes, kMaxBytes)) {}
+
     // Takes `bytes` of the memory. Returns false, and takes none, if that many are not left.
     // Preconditions: none.
     bool tryTake(size_t bytes) {
-        if (bytes > kMaxBytes - m_taken) {
+        if (bytes > m_bytes - m_taken) {
             return false;
         }
         m_taken += bytes;
@@ -31,6 +35,7 @@
     size_t taken() const { return m_taken; }
 
 private:
+    size_t m_bytes;
     size_t m_taken = 0;
 };
 
--- a/include/request/Attempt.h
+++ b/include/request/Attempt.h
@@ -19,6 +19,7 @@
 // What an attempt needs of its request. Outlives the attempt.
 struct AttemptRequest {
     const CallerMessage& message;
+    const std::shared_ptr<const RequestBody>& body;
     const CallerFacts& facts;
     const Admission& admission;
     const RequestAttempts& attempts;  // So far, without this one.
@@ -43,7 +44,7 @@
     Task<RelayEnd> exchange();
     void finishExchange(AttemptEnd end);
     Task<bool> connect();
-    std::string requestText() const;
+    std::string requestHead() const;
     MonoTime firstByteDeadline() const;
     MonoTime nextPieceDeadline() const;
     void learnFromHead();
--- a/include/request/CallerConnection.h
+++ b/include/request/CallerConnection.h
@@ -1,61 +1,52 @@
 // One connection of a caller: requests are read from it one after the other, strictly framed, and
 // its end is noticed while a request is being answered.
 //
-// Owns the socket and what was read ahead. Relies on Beast for parsing.
+// Owns the socket and what was read ahead. Relies on RequestParser for parsing.
 #pragma once
 
 #include "include/net/Net.h"
-#include "include/routing/Catalog.h"
+#include "include/request/RequestParser.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <string_view>
 
 namespace onyx {
 
-using CallerMessage = boost::beast::http::request<boost::beast::http::string_body>;
-
 // Who sends the requests of a connection.
 enum class RequestOrigin : uint8_t {
     kCaller,
     kBox,  // Another box relays requests of its callers.
 };
 
-// How reading a request ended.
-enum class ReadEnd : uint8_t {
-    kRequest,   // One whole request.
-    kClosed,    // The caller closed, or was idle for too long, between requests.
-    kBad,       // What came is no request; see `problem`.
-    kTooLarge,  // A bound was passed.
-    kSlow,      // The request did not come in time.
-};
-
-// One request, or why there is none.
-struct ReadRequest {
-    ReadEnd end = ReadEnd::kClosed;
-    CallerMessage message;
-    std::string problem;
-    MonoTime arrived;  // When its last byte was read.
-};
-
 // Not thread safe: one io_context. Held by shared_ptr, since reads outlive the caller's task.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    // Preconditions: none.
-    explicit CallerConnection(Tcp::socket socket, RequestOrigin origin = RequestOrigin::kCaller);
+    // Preconditions: `memory` is not null.
+    CallerConnection(Tcp::socket socket, std::shared_ptr<RequestMemory> memory,
+                     RequestOrigin origin = RequestOrigin::kCaller);
 
     // Whether another box relays the requests of this connection. Preconditions: none.
     bool isFromBox() const { return m_origin == RequestOrigin::kBox; }
 
-    // Reads the next request. Preconditions: the one before is answered.
-    Task<ReadRequest> read(const CallerLimits& limits);
+    // Reads the next request. kLarge: readOn() reads the rest.
+    // Preconditions: the one before is answered.
+    Task<ReadEnd> read(CallerLimits limits);
+
+    // Reads on after kLarge. Preconditions: read() or this returned kLarge.
+    Task<ReadEnd> readOn();
+
+    // Returns the request, or why there is none. Preconditions: reading has ended with `end`;
+    // called once.
+    ReadRequest takeRequest(ReadEnd end);
+
+    // Returns the request without its body; nothing if its head was not read.
+    // Preconditions: read() has ended, and takeRequest() was not called since.
+    std::optional<ReadRequest> headOnly() const;
 
     // Sends bytes; false if the caller is gone. Preconditions: no other write is pending.
     Task<bool> write(std::string bytes);
@@ -80,18 +71,26 @@
     bool gone() const { return m_gone; }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void startRead();
     Task<bool> readMore(MonoTime until);
     Task<bool> waitForFirstByte(const CallerLimits& limits);
-    bool parse(Parser& parser, ReadRequest& result);
-    static void takeMessage(CallerMessage message, ReadRequest& result);
-    bool hasFoldedHeader() const;
+    ReadEnd endWithoutBytes() const;
+    bool growBuffer();
+    void trimBuffer();
+    std::function<void()> evictHandler();
+    void evict();
 
     Tcp::socket m_socket;
+    std::shared_ptr<RequestMemory> m_memory;
     RequestOrigin m_origin;
     boost::beast::flat_buffer m_buffer;
+    MemoryShare m_bufferShare;              // For m_buffer, once it is larger than one read.
+    size_t m_bufferHeld = 0;                // Of that share, in bytes.
+    std::optional<RequestParser> m_parser;  // Of the request that is being read.
+    size_t m_maxUnparsed = 0;               // Bytes of it.
+    MonoTime m_headUntil;                   // By when its head has to be there,
+    MonoTime m_bodyUntil;                   // and its body.
+    bool m_evicted = false;
     asio::steady_timer m_readDone;  // Cancelled when a pending read ends.
     bool m_reading = false;
     bool m_gone = false;
--- a/include/request/CallerRequest.h
+++ b/include/request/CallerRequest.h
@@ -19,6 +19,7 @@
     // Preconditions: none.
     CallerRequest(ReadRequest request, uint64_t draw, bool fromBox)
         : message(std::move(request.message)),
+          body(std::move(request.body)),
           arrived(request.arrived),
           draw(draw),
           fromBox(fromBox) {}
@@ -28,7 +29,8 @@
     // The request's own and those of the shared parts of its prompt. Preconditions: as above.
     const std::vector<uint64_t>& fingerprints();
 
-    CallerMessage message;
+    CallerMessage message;                    // Without the body.
+    std::shared_ptr<const RequestBody> body;  // Not null.
     MonoTime arrived;
     uint64_t draw;
     bool fromBox;
--- a/include/request/CallerServer.h
+++ b/include/request/CallerServer.h
@@ -1,14 +1,16 @@
 // Takes callers' connections and serves the requests on them, one after the other.
 //
-// Owns the listening socket and the connections that wait for a request; when a planned stop begins
-// to refuse requests, it closes both. Relies on CallerConnection for reading and on RequestHandler
-// for answering.
+// Owns the listening socket and the connections. There are at most as many as MachineShares says;
+// beyond that ChooseConnectionToClose gives place to a new one. When a planned stop begins to
+// refuse requests, the listening socket and the connections that wait for a request are closed.
+// Relies on CallerConnection for reading and on RequestHandler for answering.
 #pragma once
 
 #include "include/request/CallerConnection.h"
 #include "include/request/RequestContext.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace onyx {
@@ -36,6 +38,8 @@
 private:
     Task<> serve(std::shared_ptr<CallerConnection> caller);
     Task<> serveBox(std::shared_ptr<CallerConnection> box);
+    Task<std::optional<ReadRequest>> read(CallerConnection& caller);
+    Task<> refuseUnread(CallerConnection& caller, ReadEnd end);
     Task<> answerBad(CallerConnection& caller, const ReadRequest& request);
 
     RequestContext& m_context;
--- a/include/request/HttpText.h
+++ b/include/request/HttpText.h
@@ -16,9 +16,10 @@
 // and those that give a body's length. Preconditions: none. Thread safety: any thread.
 void DropConnectionHeaders(HttpFields& fields);
 
-// A request with the caller's method, target and body, and these headers.
-// Preconditions: the headers give no length. Thread safety: any thread.
-std::string RequestText(const CallerMessage& message, const HttpFields& fields);
+// The head of a request with the caller's method and target, these headers, and a body of
+// `bodySize` bytes. Preconditions: the headers give no length. Thread safety: any thread.
+std::string RequestHeadText(const CallerMessage& message, const HttpFields& fields,
+                            size_t bodySize);
 
 // A whole answer with an upstream's status. Preconditions and thread safety as above.
 std::string AnswerText(const ResponseHead& head, const HttpFields& fields, std::string_view body,
--- a/include/request/RelayAttempt.h
+++ b/include/request/RelayAttempt.h
@@ -27,7 +27,7 @@
 private:
     Task<RelayReport> exchange();
     Task<RelayReport> readAnswer();
-    std::string requestText() const;
+    std::string requestHead() const;
     MonoTime deadline() const;
 
     RequestContext& m_context;
--- a/include/request/RequestContext.h
+++ b/include/request/RequestContext.h
@@ -4,6 +4,8 @@
 
 #include "include/admission/Admission.h"
 #include "include/admission/LocalRetryBudget.h"
+#include "include/admission/MachineShares.h"
+#include "include/admission/RequestMemory.h"
 #include "include/dialect/Dialect.h"
 #include "include/lifecycle/Drain.h"
 #include "include/peers/PeerMesh.h"
@@ -49,7 +51,11 @@
     ReachMonitor& reach;
     RelayController& relays;
     RoomController& room;
-    std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
+    const MachineShares shares = MachineShares::Of(settings.machine);
+    std::shared_ptr<AnswerMemory> answerMemory =
+        std::make_shared<AnswerMemory>(shares.answerMemory);
+    std::shared_ptr<RequestMemory> requestMemory =
+        std::make_shared<RequestMemory>(shares.requestMemory);
     std::minstd_rand random{std::random_device{}()};
 
     // What the placement of an attempt may read. Preconditions: none.
--- a/include/request/RequestHandler.h
+++ b/include/request/RequestHandler.h
@@ -41,7 +41,15 @@
     // Answers the request. Preconditions: called once.
     Task<AfterAnswer> run();
 
+    // Refuses a request whose body was not read if its head shows that it cannot be served. Returns
+    // whether it was. Preconditions: run() is not called; the connection is closed afterwards.
+    Task<bool> refuseByHead();
+
+    // Refuses a request whose body was not read. Preconditions: as above.
+    Task<> refuse(RefusalReason reason);
+
 private:
+    Task<> refuseUnread(Refusal refusal);
     std::optional<Refusal> readHead();
     Task<std::optional<Refusal>> admit();
     Task<AfterAnswer> serve();
--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -7,6 +7,7 @@
 
 #include "include/relay/AttemptBounds.h"
 #include "include/request/ConnectionReport.h"
+#include "include/request/RequestBody.h"
 #include "include/request/RequestContext.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +20,13 @@
 
 namespace onyx {
 
+// What is written to an upstream. The body is shared with the request, and held until it is
+// written.
+struct OutgoingRequest {
+    std::string head;
+    std::shared_ptr<const RequestBody> body;
+};
+
 // How reading a part of an answer ended.
 enum class AnswerRead : uint8_t {
     kPart,       // What was asked for: the head, or a piece of the body.
@@ -46,7 +54,7 @@
     // Sends `message` and reads the head of the answer that carries this request's id. A few other
     // answers, which nobody waits for any more, are passed over.
     // Preconditions: connect() succeeded; called once.
-    Task<AnswerRead> send(std::string message, MonoTime until);
+    Task<AnswerRead> send(OutgoingRequest message, MonoTime until);
 
     // Reads more of the body into `piece`. Preconditions: send() ended with kPart.
     Task<AnswerRead> read(std::string& piece, MonoTime until);
@@ -86,7 +94,7 @@
     // Sets the socket's options. Errors: kUnavailable.
     Result<bool> prepareSocket();
     bool takeKept(Millis maxIdle);
-    void write(std::string message);
+    void write(OutgoingRequest message);
     void awaitDelivery();
     void startKeepAlive();
     bool isClean() const;
--- a/include/state/GatewaySettings.h
+++ b/include/state/GatewaySettings.h
@@ -4,6 +4,7 @@
 
 #include "include/admission/Admission.h"
 #include "include/admission/LocalRetryBudget.h"
+#include "include/admission/MachineShares.h"
 #include "include/config/Settings.h"
 #include "include/freshness/StoreCallPolicy.h"
 #include "include/freshness/StorePacing.h"
@@ -64,6 +65,7 @@
     PlacementPolicy modelPlacement = AffinityPolicy{};
     PlacementPolicy plainPlacement = ZoneFirstPolicy{};
     DrainSettings drain;
+    MachineLimits machine;
 
     // Reads all keys. Problems stay with the reader. Preconditions: none.
     static GatewaySettings Read(SettingsReader& reader);
--- a/src/admission/Refusal.cpp
+++ b/src/admission/Refusal.cpp
@@ -22,7 +22,7 @@
 constexpr std::optional<Millis> kAfterConfigurationMs = kRetryAfterNoConfigurationMs;
 constexpr std::optional<Millis> kNoRetry = std::nullopt;
 // One row per reason.
-constexpr std::array<RefusalRow, 16> kRefusalTable = {{
+constexpr std::array<RefusalRow, 17> kRefusalTable = {{
     {RefusalReason::kBadHead, HttpStatus::kBadRequest, "", kNoRetry},
     {RefusalReason::kNoRequestId, HttpStatus::kBadRequest, "the request has no id", kNoRetry},
     {RefusalReason::kDraining, HttpStatus::kUnavailable, "this box is leaving",
@@ -44,6 +44,8 @@
      kRetryAfterQuarantinedMs},
     {RefusalReason::kStreamOriginUnknown, HttpStatus::kUnavailable,
      "the version that began the stream is not known", kRetryAfterStreamUnknownMs},
+    {RefusalReason::kNoMemory, HttpStatus::kUnavailable, "no memory for this request now",
+     kRetryAfterNoMemoryMs},
     {RefusalReason::kNoRoom, HttpStatus::kUnavailable, "no room for this request now",
      kRetryAfterNoUpstreamMs},
     {RefusalReason::kNoUpstream, HttpStatus::kUnavailable, "no upstream took the request",
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -81,7 +81,7 @@
           m_rollouts, m_streams, m_versionRecords, m_storedStreams, m_reach,     m_relays,
           m_room},
       m_callers(m_context),
-      m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics,
+      m_status(settings, dialect, m_configuration, m_lifecycle, m_metrics, m_context.requestMemory,
                [this] { return ready(); }) {}
 
 Result<std::unique_ptr<Gateway>> Gateway::Make(asio::io_context& io,
--- a/src/health/RequestFingerprint.cpp
+++ b/src/health/RequestFingerprint.cpp
@@ -21,14 +21,18 @@
 }  // namespace
 
 uint64_t Fingerprint(const RequestIdentity& request) {
+    return Fingerprint(request, std::span(&request.body, 1));
+}
+
+uint64_t Fingerprint(const RequestIdentity& request, std::span<const std::string_view> pieces) {
     const std::string host = HostName(request.host);
-    const std::array<std::string_view, 5> parts = {request.method, host, request.target,
-                                                   request.team, request.body};
+    const std::array<std::string_view, 4> parts = {request.method, host, request.target,
+                                                   request.team};
     uint64_t hash = 0;
     for (const std::string_view part : parts) {
         hash = HashPair(hash, HashText(part));
     }
-    return hash;
+    return HashPair(hash, HashPieces(pieces));
 }
 
 uint64_t PartFingerprint(std::string_view part) {
--- a/src/request/AdmitStep.cpp
+++ b/src/request/AdmitStep.cpp
@@ -48,8 +48,23 @@
     return lost ? std::optional<Refusal>(MakeRefusal(RefusalReason::kNoUpstream)) : std::nullopt;
 }
 
+std::optional<Refusal> AdmitStep::admitByHead() {
+    if (auto refusal = checkRelayed()) {
+        return refusal;
+    }
+    return decide({}, ReadClocks().mono);
+}
+
 std::optional<Refusal> AdmitStep::admit(std::string_view service) {
     const MonoTime now = ReadClocks().mono;
+    if (auto refusal = decide(service, now)) {
+        return refusal;
+    }
+    m_context.log.admitted(m_request.admission, m_catalogAge);
+    return checkQuarantine(now);
+}
+
+std::optional<Refusal> AdmitStep::decide(std::string_view service, MonoTime now) {
     const AdmissionRequest request{m_request.message[boost::beast::http::field::host],
                                    m_request.message.target(),
                                    m_request.facts.credential,
@@ -65,8 +80,8 @@
         return std::move(*refusal);
     }
     m_request.admission = std::get<Admission>(std::move(decided));
-    m_context.log.admitted(m_request.admission, knowledge.catalogAge);
-    return checkQuarantine(now);
+    m_catalogAge = knowledge.catalogAge;
+    return std::nullopt;
 }
 
 std::optional<Refusal> AdmitStep::checkQuarantine(MonoTime now) {
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -104,9 +104,9 @@
         m_context.retries.recordFirstAttempt(admission.service, m_start);
     }
     m_context.log.sent(admission.service);
-    std::string text = requestText();
+    OutgoingRequest message{requestHead(), m_request.body};
     const MonoTime until = firstByteDeadline();
-    const AnswerRead head = co_await m_exchange->send(std::move(text), until);
+    const AnswerRead head = co_await m_exchange->send(std::move(message), until);
     if (head != AnswerRead::kPart) {
         co_return RelayEnd{AttemptEnd::kUnclear, head == AnswerRead::kTimeout};
     }
@@ -140,7 +140,7 @@
     co_return connected.has_value() && !m_caller.gone() && MaySend(settings.admission, route, age);
 }
 
-std::string Attempt::requestText() const {
+std::string Attempt::requestHead() const {
     const Admission& admission = m_request.admission;
     UpstreamRequest request;
     request.upstreamId = m_place.upstream.id;
@@ -153,7 +153,7 @@
     HttpFields fields(m_request.message.base());
     DropConnectionHeaders(fields);
     m_context.dialect.writeUpstreamRequest(fields, request);
-    return RequestText(m_request.message, fields);
+    return RequestHeadText(m_request.message, fields, m_request.body->size());
 }
 
 MonoTime Attempt::firstByteDeadline() const {
--- a/src/request/AttemptStep.cpp
+++ b/src/request/AttemptStep.cpp
@@ -4,8 +4,9 @@
 
 Task<Verdict> AttemptStep::run(const AttemptPlace& place) {
     noteBegin(place);
-    const AttemptRequest request{m_request.message,  m_request.facts,  m_request.admission,
-                                 m_judge.attempts(), !m_progress.sent, m_request.arrived};
+    const AttemptRequest request{m_request.message,   m_request.body,     m_request.facts,
+                                 m_request.admission, m_judge.attempts(), !m_progress.sent,
+                                 m_request.arrived};
     Attempt attempt(m_context, m_caller, *m_progress.answer, request, place);
     AttemptReport report = co_await attempt.run();
     m_progress.sent = m_progress.sent || attempt.sent();
--- a/src/request/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace onyx {
 
@@ -30,16 +31,14 @@
 constexpr Millis kBoxKeepAliveIdle = 1000;
 constexpr int kBoxKeepAliveCount = 2;
 
-ReadEnd EndOf(const beast::error_code& ec) {
-    const bool large = ec == http::error::body_limit || ec == http::error::header_limit ||
-                       ec == http::error::buffer_overflow;
-    return large ? ReadEnd::kTooLarge : ReadEnd::kBad;
-}
-
 }  // namespace
 
-CallerConnection::CallerConnection(Tcp::socket socket, RequestOrigin origin)
-    : m_socket(std::move(socket)), m_origin(origin), m_readDone(m_socket.get_executor()) {
+CallerConnection::CallerConnection(Tcp::socket socket, std::shared_ptr<RequestMemory> memory,
+                                   RequestOrigin origin)
+    : m_socket(std::move(socket)),
+      m_memory(std::move(memory)),
+      m_origin(origin),
+      m_readDone(m_socket.get_executor()) {
     beast::error_code ec;
     m_socket.set_option(Tcp::no_delay(true), ec);
     // One that takes no option has ended: reading tells.
@@ -73,7 +72,7 @@
 
 Task<bool> CallerConnection::readMore(MonoTime until) {
     startRead();
-    while (m_reading && ReadClocks().mono < until && !m_waitStopped) {
+    while (m_reading && ReadClocks().mono < until && !m_waitStopped && !m_evicted) {
         // Relative: timers run on another clock, which stands still while the box is suspended.
         m_readDone.expires_after(std::chrono::milliseconds(until - ReadClocks().mono));
         beast::error_code ec;
@@ -102,77 +101,130 @@
     co_return true;
 }
 
-bool CallerConnection::hasFoldedHeader() const {
-    const auto data = m_buffer.data();
-    const std::string_view text(static_cast<const char*>(data.data()), data.size());
-    const std::string_view head = text.substr(0, text.find("\r\n\r\n"));
-    return head.find("\r\n ") != std::string_view::npos ||
-           head.find("\r\n\t") != std::string_view::npos;
+Task<ReadEnd> CallerConnection::read(CallerLimits limits) {
+    m_onGone = nullptr;
+    m_parser.reset();
+    trimBuffer();
+    const bool came = co_await waitForFirstByte(limits);
+    if (!came) {
+        co_return ReadEnd::kClosed;
+    }
+    m_parser.emplace(limits, m_memory, evictHandler());
+    m_maxUnparsed = std::max(kMaxUnparsed, limits.headerBytes);
+    m_headUntil = ReadClocks().mono + limits.headerTimeout;
+    m_bodyUntil = ReadClocks().mono + kBodyTimeout;
+    const ReadEnd end = co_await readOn();
+    co_return end;
 }
 
-// Feeds what is buffered to the parser; true if the result stands.
-bool CallerConnection::parse(Parser& parser, ReadRequest& result) {
-    if (!parser.is_header_done() && hasFoldedHeader()) {
-        result.end = ReadEnd::kBad;
-        result.problem = "folded header line";
-        return true;
-    }
-    beast::error_code ec;
-    while (m_buffer.size() > 0 && !parser.is_done()) {
-        const size_t used = parser.put(m_buffer.data(), ec);
-        m_buffer.consume(used);
-        if (ec == http::error::need_more) {
-            return false;
+Task<ReadEnd> CallerConnection::readOn() {
+    while (!m_evicted) {
+        const auto end = m_parser->parse(m_buffer, ReadClocks().mono);
+        if (end) {
+            co_return *end;
+        }
+        if (m_buffer.size() > m_maxUnparsed) {
+            co_return ReadEnd::kTooLarge;
+        }
+        if (!growBuffer()) {
+            break;
         }
-        if (ec) {
-            result.end = EndOf(ec);
-            result.problem = ec.message();
-            return true;
+        const size_t before = m_buffer.size();
+        const MonoTime until = m_parser->hasHead() ? m_bodyUntil : m_headUntil;
+        const bool came = co_await readMore(until);
+        if (!came) {
+            co_return endWithoutBytes();
+        }
+        if (m_bufferShare) {
+            m_bufferShare.noteProgress(m_buffer.size() - before, ReadClocks().mono);
         }
     }
-    if (parser.is_done()) {
-        takeMessage(parser.release(), result);
+    co_return ReadEnd::kNoMemory;
+}
+
+ReadEnd CallerConnection::endWithoutBytes() const {
+    if (m_evicted) {
+        return ReadEnd::kNoMemory;
     }
-    return parser.is_done();
+    return m_gone || m_waitStopped ? ReadEnd::kClosed : ReadEnd::kSlow;
 }
 
-// A message whose framing callers and upstreams could read differently is no request.
-void CallerConnection::takeMessage(CallerMessage message, ReadRequest& result) {
-    const bool ambiguous =
-        message.count(http::field::content_length) > 1 || message.count(http::field::host) != 1;
-    result.end = ambiguous ? ReadEnd::kBad : ReadEnd::kRequest;
-    if (ambiguous) {
-        result.problem = "expected one Host and at most one Content-Length";
+ReadRequest CallerConnection::takeRequest(ReadEnd end) {
+    ReadRequest request;
+    request.end = end;
+    request.arrived = ReadClocks().mono;
+    if (end == ReadEnd::kRequest) {
+        request.message = m_parser->head();
+        request.body = m_parser->takeBody();
+    } else if (m_parser) {
+        request.problem = m_parser->problem().empty()
+                              ? "it is too long, too late, or there is no memory for it"
+                              : m_parser->problem();
     }
-    result.message = std::move(message);
+    m_parser.reset();
+    return request;
 }
 
-Task<ReadRequest> CallerConnection::read(const CallerLimits& limits) {
-    ReadRequest result;
-    m_onGone = nullptr;
-    if (!co_await waitForFirstByte(limits)) {
-        co_return result;
-    }
-    Parser parser;
-    parser.eager(true);
-    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
-    const MonoTime start = ReadClocks().mono;
-    while (!parse(parser, result)) {
-        const bool head = parser.is_header_done();
-        const MonoTime until = start + (head ? kBodyTimeout : limits.headerTimeout);
-        if (m_buffer.size() > std::max(kMaxUnparsed, limits.headerBytes)) {
-            result.end = ReadEnd::kTooLarge;
-            result.problem = "a chunk's header or the trailers are too long";
-            co_return result;
-        }
-        if (!co_await readMore(until)) {
-            result.end = m_gone || m_waitStopped ? ReadEnd::kClosed : ReadEnd::kSlow;
-            co_return result;
+std::optional<ReadRequest> CallerConnection::headOnly() const {
+    if (!m_parser || !m_parser->hasHead()) {
+        return std::nullopt;
+    }
+    ReadRequest request;
+    request.message = m_parser->head();
+    request.arrived = ReadClocks().mono;
+    return request;
+}
+
+// Takes memory for a read that makes the buffer larger than one read needs.
+bool CallerConnection::growBuffer() {
+    const size_t size = m_buffer.size();
+    if (m_reading || size + kReadSize <= m_buffer.capacity()) {
+        return true;
+    }
+    const size_t grown = std::max(2 * size, size + kReadSize);  // As flat_buffer does.
+    const size_t held = grown - std::min(grown, kReadSize);
+    if (held <= m_bufferHeld) {
+        return true;
+    }
+    const MonoTime now = ReadClocks().mono;
+    if (!m_bufferShare) {
+        m_bufferShare = MemoryShare(m_memory, now, evictHandler());
+    }
+    if (!m_bufferShare.take(held - m_bufferHeld, now)) {
+        return false;
+    }
+    m_bufferHeld = held;
+    return true;
+}
+
+void CallerConnection::trimBuffer() {
+    if (!m_bufferShare || m_reading || m_buffer.size() > 0) {
+        return;
+    }
+    m_buffer.shrink_to_fit();
+    m_bufferShare.reset();
+    m_bufferHeld = 0;
+}
+
+std::function<void()> CallerConnection::evictHandler() {
+    return [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->evict();
         }
+    };
+}
+
+// Without a body there is nothing but the buffer, which is released with the connection.
+void CallerConnection::evict() {
+    m_evicted = true;
+    m_bufferShare.reset();
+    m_bufferHeld = 0;
+    if (m_parser && m_parser->hasBody()) {
+        m_parser->dropBody();
+        m_readDone.cancel();
+    } else {
+        abort();
     }
-    result.arrived = ReadClocks().mono;
-    co_return result;
 }
 
 Task<bool> CallerConnection::write(std::string bytes) {
@@ -197,7 +249,9 @@
     beast::error_code ec;
     m_socket.shutdown(Tcp::socket::shutdown_send, ec);
     const MonoTime until = ReadClocks().mono + kLingerTime;
+    m_parser.reset();
     m_waitStopped = false;
+    m_evicted = false;
     while (!ec && co_await readMore(until)) {
         m_buffer.consume(m_buffer.size());
     }
--- a/src/request/CallerRequest.cpp
+++ b/src/request/CallerRequest.cpp
@@ -9,7 +9,8 @@
         const std::string_view method = message.method_string();
         const std::string_view host = message[boost::beast::http::field::host];
         const std::string_view target = message.target();
-        m_fingerprint = Fingerprint({method, host, target, admission.team.value, message.body()});
+        const std::vector<std::string_view> pieces = body->pieces();
+        m_fingerprint = Fingerprint({method, host, target, admission.team.value, {}}, pieces);
     }
     return *m_fingerprint;
 }
--- a/src/request/CallerServer.cpp
+++ b/src/request/CallerServer.cpp
@@ -4,6 +4,10 @@
 #include "include/request/HttpText.h"
 #include "include/request/RequestHandler.h"
 
+#include <iterator>
+#include <utility>
+#include <vector>
+
 namespace onyx {
 
 namespace {
@@ -26,14 +30,16 @@
                       Listen(m_context.io, m_context.settings.callers, "gateway.listen"));
     const auto executor = m_context.io.get_executor();
     const auto take = [this, executor](Tcp::socket socket) {
-        Spawn(executor, serve(std::make_shared<CallerConnection>(std::move(socket))));
+        Spawn(executor, serve(std::make_shared<CallerConnection>(std::move(socket),
+                                                                 m_context.requestMemory)));
     };
     Spawn(executor, AcceptAll(m_acceptor, take));
     return true;
 }
 
 void CallerServer::takeRelayed(Tcp::socket socket) {
-    auto box = std::make_shared<CallerConnection>(std::move(socket), RequestOrigin::kBox);
+    auto box = std::make_shared<CallerConnection>(std::move(socket), m_context.requestMemory,
+                                                  RequestOrigin::kBox);
     Spawn(m_context.io.get_executor(), serveBox(std::move(box)));
 }
 
@@ -54,20 +60,11 @@
 
 Task<> CallerServer::serve(std::shared_ptr<CallerConnection> caller) {
     while (true) {
-        const auto& catalog = m_context.configuration.catalog();
-        const CallerLimits limits = catalog ? catalog->limits() : CallerLimits();
-        m_idle.insert(caller);
-        ReadRequest request = co_await caller->read(limits);
-        m_idle.erase(caller);
-        if (request.end == ReadEnd::kClosed) {
-            caller->abort();
-            co_return;
-        }
-        if (request.end != ReadEnd::kRequest) {
-            co_await answerBad(*caller, request);
+        std::optional<ReadRequest> request = co_await read(*caller);
+        if (!request) {
             co_return;
         }
-        RequestHandler handler(m_context, *caller, std::move(request));
+        RequestHandler handler(m_context, *caller, std::move(*request));
         const AfterAnswer after = co_await handler.run();
         if (after == AfterAnswer::kAborted) {
             caller->abort();
@@ -80,6 +77,48 @@
     }
 }
 
+// Reads the next request; nothing if there is none, and the connection has ended. A large one is
+// read on only if its head lets it be served.
+Task<std::optional<ReadRequest>> CallerServer::read(CallerConnection& caller) {
+    const auto& catalog = m_context.configuration.catalog();
+    const CallerLimits limits = catalog ? catalog->limits() : CallerLimits();
+    m_idle.insert(caller.shared_from_this());
+    ReadEnd end = co_await caller.read(limits);
+    if (end == ReadEnd::kLarge) {
+        RequestHandler handler(m_context, caller, *caller.headOnly());
+        if (co_await handler.refuseByHead()) {
+            m_idle.erase(caller.shared_from_this());
+            co_await caller.linger();
+            co_return std::nullopt;
+        }
+        end = co_await caller.readOn();
+    }
+    m_idle.erase(caller.shared_from_this());
+    if (end != ReadEnd::kRequest) {
+        co_await refuseUnread(caller, end);
+        co_return std::nullopt;
+    }
+    co_return caller.takeRequest(end);
+}
+
+Task<> CallerServer::refuseUnread(CallerConnection& caller, ReadEnd end) {
+    if (end == ReadEnd::kNoMemory) {
+        if (std::optional<ReadRequest> head = caller.headOnly()) {
+            RequestHandler handler(m_context, caller, std::move(*head));
+            co_await handler.refuse(RefusalReason::kNoMemory);
+            co_await caller.linger();
+            co_return;
+        }
+        end = ReadEnd::kClosed;
+    }
+    if (end == ReadEnd::kClosed) {
+        caller.abort();
+        co_return;
+    }
+    const ReadRequest request = caller.takeRequest(end);
+    co_await answerBad(caller, request);
+}
+
 Task<> CallerServer::answerBad(CallerConnection& caller, const ReadRequest& request) {
     const unsigned status = StatusOf(request.end);
     m_context.log.badRequest(status, request.problem);
--- a/src/request/HttpText.cpp
+++ b/src/request/HttpText.cpp
@@ -60,16 +60,16 @@
     }
 }
 
-std::string RequestText(const CallerMessage& message, const HttpFields& fields) {
+std::string RequestHeadText(const CallerMessage& message, const HttpFields& fields,
+                            size_t bodySize) {
     std::string out =
         fmt::format("{} {} HTTP/1.1\r\n", View(message.method_string()), View(message.target()));
     AppendFields(out, fields);
     const bool framed = message.count(http::field::content_length) > 0 || message.chunked();
-    if (framed || !message.body().empty()) {
-        out += fmt::format("Content-Length: {}\r\n", message.body().size());
+    if (framed || bodySize > 0) {
+        out += fmt::format("Content-Length: {}\r\n", bodySize);
     }
     out += "\r\n";
-    out += message.body();
     return out;
 }
 
--- a/src/request/RelayAttempt.cpp
+++ b/src/request/RelayAttempt.cpp
@@ -61,8 +61,8 @@
         report.unavailable = true;
         co_return report;
     }
-    std::string text = requestText();
-    const AnswerRead head = co_await m_exchange->send(std::move(text), deadline());
+    OutgoingRequest message{requestHead(), m_request.body};
+    const AnswerRead head = co_await m_exchange->send(std::move(message), deadline());
     if (head != AnswerRead::kPart) {
         report.end = AttemptEnd::kUnclear;
         report.timedOut = head == AnswerRead::kTimeout;
@@ -90,12 +90,12 @@
     co_return report;
 }
 
-std::string RelayAttempt::requestText() const {
+std::string RelayAttempt::requestHead() const {
     HttpFields fields(m_request.message.base());
     DropConnectionHeaders(fields);
     m_context.dialect.setTimeLeft(fields, m_request.admission.deadline - ReadClocks().mono);
     fields.set(kRelayHeader, std::to_string(m_request.admission.catalog->version()));
-    return RequestText(m_request.message, fields);
+    return RequestHeadText(m_request.message, fields, m_request.body->size());
 }
 
 MonoTime RelayAttempt::deadline() const {
--- a/src/request/RelayStep.cpp
+++ b/src/request/RelayStep.cpp
@@ -41,8 +41,9 @@
         }
         m_triedBoxes.insert(*box);
         m_progress.version.clear();  // The other box records what begins the stream there.
-        const AttemptRequest request{m_request.message,  m_request.facts,  admission,
-                                     m_judge.attempts(), !m_progress.sent, m_request.arrived};
+        const AttemptRequest request{m_request.message, m_request.body,     m_request.facts,
+                                     admission,         m_judge.attempts(), !m_progress.sent,
+                                     m_request.arrived};
         RelayAttempt attempt(m_context, m_caller, *m_progress.answer, request, *box);
         const RelayReport report = co_await attempt.run();
         m_context.log.relayed(m_request.facts.id, report);
--- a/src/request/RequestHandler.cpp
+++ b/src/request/RequestHandler.cpp
@@ -33,6 +33,28 @@
     co_return after;
 }
 
+Task<bool> RequestHandler::refuseByHead() {
+    std::optional<Refusal> refusal = readHead();
+    if (!refusal) {
+        refusal = m_admit.admitByHead();
+    }
+    if (refusal) {
+        co_await refuseUnread(std::move(*refusal));
+    }
+    co_return refusal.has_value();
+}
+
+Task<> RequestHandler::refuse(RefusalReason reason) {
+    const std::optional<Refusal> bad = readHead();
+    co_await refuseUnread(bad.value_or(MakeRefusal(reason)));
+}
+
+// The rest of the body may still come, so nothing follows on the connection.
+Task<> RequestHandler::refuseUnread(Refusal refusal) {
+    m_request.message.keep_alive(false);
+    co_await m_answer.refuse(refusal);
+}
+
 std::optional<Refusal> RequestHandler::readHead() {
     Result<CallerFacts> facts = m_context.dialect.readCaller(m_request.message.base());
     if (facts.has_error()) {
--- a/src/request/RoomStep.cpp
+++ b/src/request/RoomStep.cpp
@@ -15,7 +15,7 @@
     }
     // Many callers send the same request where it has no body; each of them is a new one.
     const uint64_t fingerprint =
-        m_request.message.body().empty() ? m_request.draw : m_request.fingerprint();
+        m_request.body->size() == 0 ? m_request.draw : m_request.fingerprint();
     const RoomDecision decision = m_context.room.decide(admission.service, of, fingerprint, now);
     const auto* noRoom = std::get_if<NoRoom>(&decision);
     if (noRoom == nullptr) {
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -141,16 +141,20 @@
     m_keepAliveOn = !StartKeepAlive(socket, kKeepAliveIdle, kKeepAliveCount);
 }
 
-void UpstreamExchange::write(std::string message) {
+void UpstreamExchange::write(OutgoingRequest message) {
     auto self = shared_from_this();
     auto connection = m_connection;
-    auto bytes = std::make_shared<std::string>(std::move(message));
+    auto held = std::make_shared<const OutgoingRequest>(std::move(message));
+    std::vector<asio::const_buffer> bytes = {asio::buffer(held->head)};
+    for (const std::string_view piece : held->body->pieces()) {
+        bytes.push_back(asio::buffer(piece));
+    }
     asio::async_write(
-        connection->stream, asio::buffer(*bytes),
-        [self, connection, bytes](const beast::error_code& ec, size_t) { self->m_written = !ec; });
+        connection->stream, bytes,
+        [self, connection, held](const beast::error_code& ec, size_t) { self->m_written = !ec; });
 }
 
-Task<AnswerRead> UpstreamExchange::send(std::string message, MonoTime until) {
+Task<AnswerRead> UpstreamExchange::send(OutgoingRequest message, MonoTime until) {
     if (m_cancelled) {
         co_return AnswerRead::kCancelled;
     }
--- a/src/state/GatewaySettings.cpp
+++ b/src/state/GatewaySettings.cpp
@@ -118,6 +118,22 @@
     return drain;
 }
 
+MachineLimits ReadMachine(SettingsReader& reader) {
+    constexpr int64_t kMaxMegabytes = 1 << 20;
+    constexpr int64_t kMaxDescriptors = 1 << 24;
+    constexpr int64_t kMinDescriptors = 2 * static_cast<int64_t>(MachineShares::kFiles);
+    constexpr int kMegabyteBits = 20;
+    MachineLimits limits;
+    const auto megabytes = static_cast<int64_t>(limits.memory >> kMegabyteBits);
+    limits.memory =
+        static_cast<size_t>(reader.number("limits.memory_mb", megabytes, 16, kMaxMegabytes))
+        << kMegabyteBits;
+    limits.descriptors = static_cast<size_t>(reader.number("limits.max_fds",
+                                                           static_cast<int64_t>(limits.descriptors),
+                                                           kMinDescriptors, kMaxDescriptors));
+    return limits;
+}
+
 void ReadAddresses(SettingsReader& reader, GatewaySettings& settings) {
     settings.callers = reader.address("listen.callers");
     settings.readiness = reader.address("listen.readiness");
@@ -160,6 +176,7 @@
     settings.cold = ReadCold(reader);
     settings.rollout = ReadRollout(reader);
     settings.drain = ReadDrain(reader);
+    settings.machine = ReadMachine(reader);
     return settings;
 }
 
