Bound callers' connections, and close those that bring no request first

What callers saw: with 1,100 silent connections, or as many whose answers are not read, a box had all descriptors of its process taken (1,100 of 1,100; 3,900 of 4,100 in the report). Upstreams, the store, other boxes and the readiness question share them, so such a box serves nobody.

Cause: AcceptAll takes every connection; idle ones live 15 s, and each that ends is replaced.

For a further one, ChooseConnectionToClose closes a connection that has brought no request, or whose caller has taken nothing of its answer for 1 s; then one that is kept for its next request; the longest without progress first. One whose request is being handled is never closed: the new one is. Each is counted (onyx_caller_connections_closed_total), event 2013 tells of it once a second.

--- a/include/net/Program.h
+++ b/include/net/Program.h
@@ -25,6 +25,9 @@
 // file is good. Thread safety: none.
 bool ReadSettingsFile(const std::string& path, const std::function<void(SettingsReader&)>& read);
 
+// Returns how many descriptors the system lets this process open. Thread safety: any thread.
+size_t DescriptorLimit();
+
 // Runs `io` until it is stopped. The first SIGTERM or SIGINT calls `onStop` (which must see to it
 // that the context stops), the second stops at once. Preconditions: none. Thread safety: none.
 void RunUntilStopped(asio::io_context& io, const std::function<void()>& onStop);
--- a/include/observe/Events.h
+++ b/include/observe/Events.h
@@ -57,6 +57,7 @@
     kStreamTakenUp = 2010,
     kRequestNoRoom = 2011,
     kCrashEvidence = 2012,
+    kCallerClosed = 2013,
     kUpstreamChanged = 2100,
     kUpstreamEjected = 2101,
     kObjectBad = 2102,
--- a/include/request/CallerConnection.h
+++ b/include/request/CallerConnection.h
@@ -4,6 +4,7 @@
 // Owns the socket and what was read ahead. Relies on RequestParser for parsing.
 #pragma once
 
+#include "include/admission/ConnectionEviction.h"
 #include "include/net/Net.h"
 #include "include/request/RequestParser.h"
 
@@ -48,6 +49,9 @@
     // Preconditions: read() has ended, and takeRequest() was not called since.
     std::optional<ReadRequest> headOnly() const;
 
+    // What it is doing. Preconditions: none.
+    const CallerActivity& activity() const { return m_activity; }
+
     // Sends bytes; false if the caller is gone. Preconditions: no other write is pending.
     Task<bool> write(std::string bytes);
 
@@ -79,10 +83,12 @@
     void trimBuffer();
     std::function<void()> evictHandler();
     void evict();
+    void enter(CallerPhase phase);
 
     Tcp::socket m_socket;
     std::shared_ptr<RequestMemory> m_memory;
     RequestOrigin m_origin;
+    CallerActivity m_activity;
     boost::beast::flat_buffer m_buffer;
     MemoryShare m_bufferShare;              // For m_buffer, once it is larger than one read.
     size_t m_bufferHeld = 0;                // Of that share, in bytes.
--- a/include/request/CallerServer.h
+++ b/include/request/CallerServer.h
@@ -36,6 +36,9 @@
     Endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
 private:
+    void accept(Tcp::socket socket);
+    bool makePlace();
+    Task<> serveCaller(std::shared_ptr<CallerConnection> caller);
     Task<> serve(std::shared_ptr<CallerConnection> caller);
     Task<> serveBox(std::shared_ptr<CallerConnection> box);
     Task<std::optional<ReadRequest>> read(CallerConnection& caller);
@@ -44,7 +47,8 @@
 
     RequestContext& m_context;
     Tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<CallerConnection>> m_idle;  // Wait for a request.
+    std::set<std::shared_ptr<CallerConnection>> m_callers;  // Not those of other boxes.
+    std::set<std::shared_ptr<CallerConnection>> m_idle;     // Wait for a request.
 };
 
 }  // namespace onyx
--- a/include/request/RequestLog.h
+++ b/include/request/RequestLog.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "include/admission/Admission.h"
+#include "include/admission/ConnectionEviction.h"
 #include "include/admission/RoomGate.h"
 #include "include/dialect/Dialect.h"
 #include "include/health/RequestQuarantine.h"
@@ -142,6 +143,11 @@
     // The request was answered, or its caller left. Preconditions: none.
     void done(const RequestReport& request, const Admission& admission, std::string_view outcome);
 
+    // A caller's connection is closed for a new one; or the new one is, since no other may be.
+    // Preconditions: none.
+    void callerEvicted(const CallerActivity& connection);
+    void callerTurnedAway();
+
     // What a caller sent is no request. Preconditions: none.
     void badRequest(unsigned status, const std::string& problem);
 
@@ -150,7 +156,10 @@
     // server's error, and its first byte came within the route's objective.
     void countForBudget(const RequestReport& request, const Admission* admission, bool good);
 
+    void noteClosed(std::string_view what);
+
     Metrics& m_metrics;
+    MonoTime m_closedLogged;     // When a closed connection was logged last.
     bool m_servesStale = false;  // The last request was decided on a stale configuration.
 };
 
--- a/src/net/Program.cpp
+++ b/src/net/Program.cpp
@@ -4,8 +4,11 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <cstdio>
+#include <limits>
 
 namespace onyx {
 
@@ -26,6 +29,14 @@
     return problems.empty();
 }
 
+size_t DescriptorLimit() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return std::numeric_limits<size_t>::max();
+    }
+    return limit.rlim_cur;
+}
+
 void RunUntilStopped(asio::io_context& io, const std::function<void()>& onStop) {
     std::signal(SIGPIPE, SIG_IGN);
     asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/observe/Events.cpp
+++ b/src/observe/Events.cpp
@@ -60,6 +60,7 @@
     {Event::kRequestRelayed, "request-relayed"},
     {Event::kStreamTakenUp, "stream-taken-up"},
     {Event::kRequestNoRoom, "request-no-room"},
+    {Event::kCallerClosed, "caller-closed"},
     {Event::kCrashEvidence, "crash-evidence"},
     {Event::kCallerBad, "caller-bad"},
     {Event::kUpstreamChanged, "upstream-changed"},
--- a/src/request/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -39,6 +39,7 @@
       m_memory(std::move(memory)),
       m_origin(origin),
       m_readDone(m_socket.get_executor()) {
+    enter(CallerPhase::kReading);
     beast::error_code ec;
     m_socket.set_option(Tcp::no_delay(true), ec);
     // One that takes no option has ended: reading tells.
@@ -50,6 +51,11 @@
     }
 }
 
+void CallerConnection::enter(CallerPhase phase) {
+    m_activity.phase = phase;
+    m_activity.since = ReadClocks().mono;
+}
+
 void CallerConnection::startRead() {
     if (m_reading || m_gone) {
         return;
@@ -105,6 +111,7 @@
     m_onGone = nullptr;
     m_parser.reset();
     trimBuffer();
+    enter(CallerPhase::kReading);
     const bool came = co_await waitForFirstByte(limits);
     if (!came) {
         co_return ReadEnd::kClosed;
@@ -119,8 +126,10 @@
 
 Task<ReadEnd> CallerConnection::readOn() {
     while (!m_evicted) {
-        const auto end = m_parser->parse(m_buffer, ReadClocks().mono);
+        enter(CallerPhase::kReading);
+        const auto end = m_parser->parse(m_buffer, m_activity.since);
         if (end) {
+            enter(CallerPhase::kWorking);
             co_return *end;
         }
         if (m_buffer.size() > m_maxUnparsed) {
@@ -232,9 +241,12 @@
         co_return false;
     }
     auto self = shared_from_this();
+    enter(CallerPhase::kWriting);
     beast::error_code ec;
     co_await asio::async_write(m_socket, asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, ec));
+    enter(CallerPhase::kWorking);
+    m_activity.wasServed = m_activity.wasServed || !ec;
     co_return !ec;
 }
 
@@ -248,7 +260,8 @@
     m_onGone = nullptr;
     beast::error_code ec;
     m_socket.shutdown(Tcp::socket::shutdown_send, ec);
-    const MonoTime until = ReadClocks().mono + kLingerTime;
+    enter(CallerPhase::kEnding);
+    const MonoTime until = m_activity.since + kLingerTime;
     m_parser.reset();
     m_waitStopped = false;
     m_evicted = false;
--- a/src/request/CallerServer.cpp
+++ b/src/request/CallerServer.cpp
@@ -28,15 +28,45 @@
 Result<bool> CallerServer::start() {
     BOOST_OUTCOME_TRY(m_acceptor,
                       Listen(m_context.io, m_context.settings.callers, "gateway.listen"));
-    const auto executor = m_context.io.get_executor();
-    const auto take = [this, executor](Tcp::socket socket) {
-        Spawn(executor, serve(std::make_shared<CallerConnection>(std::move(socket),
-                                                                 m_context.requestMemory)));
-    };
-    Spawn(executor, AcceptAll(m_acceptor, take));
+    const auto take = [this](Tcp::socket socket) { accept(std::move(socket)); };
+    Spawn(m_context.io.get_executor(), AcceptAll(m_acceptor, take));
     return true;
 }
 
+void CallerServer::accept(Tcp::socket socket) {
+    if (m_callers.size() >= m_context.shares.callerConnections && !makePlace()) {
+        m_context.log.callerTurnedAway();
+        return;
+    }
+    auto caller = std::make_shared<CallerConnection>(std::move(socket), m_context.requestMemory);
+    m_callers.insert(caller);
+    Spawn(m_context.io.get_executor(), serveCaller(std::move(caller)));
+}
+
+// Closes a connection for a new one; false if none may be closed.
+bool CallerServer::makePlace() {
+    std::vector<CallerActivity> activities;
+    activities.reserve(m_callers.size());
+    for (const auto& caller : m_callers) {
+        activities.push_back(caller->activity());
+    }
+    const auto chosen = ChooseConnectionToClose(activities, ReadClocks().mono);
+    if (!chosen) {
+        return false;
+    }
+    const auto victim = std::next(m_callers.begin(), static_cast<std::ptrdiff_t>(*chosen));
+    m_context.log.callerEvicted((*victim)->activity());
+    (*victim)->abort();
+    m_callers.erase(victim);
+    return true;
+}
+
+Task<> CallerServer::serveCaller(std::shared_ptr<CallerConnection> caller) {
+    std::shared_ptr<CallerConnection> served = caller;
+    co_await serve(std::move(served));
+    m_callers.erase(caller);
+}
+
 void CallerServer::takeRelayed(Tcp::socket socket) {
     auto box = std::make_shared<CallerConnection>(std::move(socket), m_context.requestMemory,
                                                   RequestOrigin::kBox);
--- a/src/request/RequestLog.cpp
+++ b/src/request/RequestLog.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr Millis kClosedLogInterval = 1000;
+
 std::string YesNo(bool value) {
     return value ? "yes" : "no";
 }
@@ -268,6 +270,32 @@
                                    {"took_ms", std::to_string(request.took)}});
 }
 
+void RequestLog::callerEvicted(const CallerActivity& connection) {
+    switch (connection.phase) {
+        case CallerPhase::kWriting:
+            return noteClosed("untaken-answer");
+        case CallerPhase::kEnding:
+            return noteClosed("ending");
+        default:
+            return noteClosed(connection.wasServed ? "kept" : "no-request");
+    }
+}
+
+void RequestLog::callerTurnedAway() {
+    noteClosed("new");
+}
+
+// A crowd opens connections by the thousand: the metric counts each, one line a second tells of it.
+void RequestLog::noteClosed(std::string_view what) {
+    m_metrics.count("onyx_caller_connections_closed_total", {{"what", std::string(what)}});
+    const MonoTime now = ReadClocks().mono;
+    if (now - m_closedLogged < kClosedLogInterval) {
+        return;
+    }
+    m_closedLogged = now;
+    logEvent(Event::kCallerClosed, {{"what", std::string(what)}});
+}
+
 void RequestLog::badRequest(unsigned status, const std::string& problem) {
     logEvent(Event::kCallerBad, {{"status", std::to_string(status)}, {"why", problem}});
     m_metrics.count("onyx_bad_requests_total", {{"status", std::to_string(status)}});
--- a/tools/onyx-gateway.cpp
+++ b/tools/onyx-gateway.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 
@@ -39,6 +40,7 @@
     if (launch.exitCode) {
         return *launch.exitCode;
     }
+    settings.machine.descriptors = std::min(settings.machine.descriptors, DescriptorLimit());
     SetUpAsyncLog("onyx-gateway/" + settings.box, settings.logLevel);
     asio::io_context io(1);
     const platform::PlatformDialect dialect;
