Bound what lies unread in callers' sockets

Cause: each connection's receive buffer is the system's choice, some hundred kilobytes, and the queue of connections that are not accepted yet has 4,096 places.

A fifth of the machine's memory is for unread bytes: the listening socket's receive buffer, which connections inherit, is that share over all connections and 512 places of the queue. It is widened to up to 64 KB while a large body arrives that was let in.

--- a/include/net/Net.h
+++ b/include/net/Net.h
@@ -32,10 +32,16 @@
 // Errors: kBadInput, with the text as peer. Thread safety: any thread.
 Result<Endpoint> ParseEndpoint(std::string_view text);
 
+// What the system holds for a listening socket before the process takes it.
+struct ListenQueue {
+    int connections = asio::socket_base::max_listen_connections;  // That are not accepted yet.
+    size_t receiveBuffer = 0;  // Bytes of each connection, also later; 0: the system's choice.
+};
+
 // Opens a listening socket on `endpoint` (port 0: chosen by the kernel); `step` names the caller in
 // errors. Errors: kUnavailable. Thread safety: that of the context.
 Result<Tcp::acceptor> Listen(asio::io_context& context, const Endpoint& endpoint,
-                             std::string_view step);
+                             std::string_view step, const ListenQueue& queue = {});
 
 // Accepts connections until `acceptor` is closed, and hands each to `take`. After an error, such as
 // no descriptor left, it waits a little. Preconditions: the acceptor outlives the task.
--- a/include/net/SocketTools.h
+++ b/include/net/SocketTools.h
@@ -27,6 +27,14 @@
 // safety as above.
 boost::system::error_code SetResetOnClose(Tcp::socket& socket, bool reset = true);
 
+// The bytes that may arrive on a connection before they are read; 0 if the system does not say.
+// Thread safety as above.
+size_t ReceiveBufferSize(Tcp::socket& socket);
+
+// Sets them, and with them how much the peer may send at once. Errors, preconditions and thread
+// safety as above.
+boost::system::error_code SetReceiveBufferSize(Tcp::socket& socket, size_t bytes);
+
 // Bytes that were written and that the peer's system has not acknowledged yet, unsent ones
 // included; nothing if this system does not say, or the socket is closed. Thread safety as above.
 std::optional<size_t> UnacknowledgedBytes(Tcp::socket& socket);
--- a/include/request/CallerConnection.h
+++ b/include/request/CallerConnection.h
@@ -41,6 +41,10 @@
     // Reads on after kLarge. Preconditions: read() or this returned kLarge.
     Task<ReadEnd> readOn();
 
+    // Lets more of a large body arrive at once, until the next request.
+    // Preconditions: read() returned kLarge.
+    void widenReceiveBuffer();
+
     // Returns the request, or why there is none. Preconditions: reading has ended with `end`;
     // called once.
     ReadRequest takeRequest(ReadEnd end);
@@ -81,6 +85,7 @@
     ReadEnd endWithoutBytes() const;
     bool growBuffer();
     void trimBuffer();
+    void resetReceiveBuffer();
     std::function<void()> evictHandler();
     void evict();
     void enter(CallerPhase phase);
@@ -96,6 +101,7 @@
     size_t m_maxUnparsed = 0;               // Bytes of it.
     MonoTime m_headUntil;                   // By when its head has to be there,
     MonoTime m_bodyUntil;                   // and its body.
+    size_t m_usualReceive = 0;              // Receive buffer before it was widened, 0: it was not.
     bool m_evicted = false;
     asio::steady_timer m_readDone;  // Cancelled when a pending read ends.
     bool m_reading = false;
--- a/src/net/Net.cpp
+++ b/src/net/Net.cpp
@@ -53,18 +53,23 @@
 }
 
 Result<Tcp::acceptor> Listen(asio::io_context& context, const Endpoint& endpoint,
-                             std::string_view step) {
+                             std::string_view step, const ListenQueue& queue) {
     boost::system::error_code ec;
     Tcp::acceptor acceptor(context);
     acceptor.open(endpoint.protocol(), ec);
     if (!ec) {
         acceptor.set_option(asio::socket_base::reuse_address(true), ec);
     }
+    if (!ec && queue.receiveBuffer > 0) {
+        // Accepted connections inherit it.
+        const auto size = static_cast<int>(queue.receiveBuffer);
+        acceptor.set_option(asio::socket_base::receive_buffer_size(size), ec);
+    }
     if (!ec) {
         acceptor.bind(endpoint, ec);
     }
     if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        acceptor.listen(queue.connections, ec);
     }
     if (ec) {
         return Error{ErrorCode::kUnavailable, std::string(step), EndpointText(endpoint),
--- a/src/net/SocketTools.cpp
+++ b/src/net/SocketTools.cpp
@@ -48,6 +48,21 @@
     return ec;
 }
 
+size_t ReceiveBufferSize(Tcp::socket& socket) {
+    constexpr int kSystemFactor = 2;  // The system tells twice what was set.
+    error_code ec;
+    asio::socket_base::receive_buffer_size size;
+    socket.get_option(size, ec);
+    return ec ? 0 : static_cast<size_t>(size.value() / kSystemFactor);
+}
+
+error_code SetReceiveBufferSize(Tcp::socket& socket, size_t bytes) {
+    const auto size = static_cast<int>(bytes);
+    error_code ec;
+    socket.set_option(asio::socket_base::receive_buffer_size(size), ec);
+    return ec ? ec : SetOption<IPPROTO_TCP, TCP_WINDOW_CLAMP>(socket, size);
+}
+
 std::optional<size_t> UnacknowledgedBytes(Tcp::socket& socket) {
     int bytes = 0;
     if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) {
--- a/src/request/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -19,6 +19,10 @@
 constexpr size_t kReadSize = size_t{8} * 1024;  // Bytes of one read.
 // Bytes that the parser has not taken, since it wants all of a chunk's header or of the trailers.
 constexpr size_t kMaxUnparsed = size_t{64} * 1024;
+// Receive buffer of a connection that brings a large body, in bytes, at most; and the part of the
+// body that it may hold.
+constexpr size_t kMaxWideReceive = size_t{64} * 1024;
+constexpr size_t kWideReceiveDivisor = 8;
 // Times in milliseconds. For the body of a request: the most that a slow line needs.
 constexpr Millis kBodyTimeout = 15000;
 // For the caller to read the last answer before the connection is closed.
@@ -111,6 +115,7 @@
     m_onGone = nullptr;
     m_parser.reset();
     trimBuffer();
+    resetReceiveBuffer();
     enter(CallerPhase::kReading);
     const bool came = co_await waitForFirstByte(limits);
     if (!came) {
@@ -215,6 +220,21 @@
     m_bufferHeld = 0;
 }
 
+// In proportion to the body, so that what lies unread stays a small part of what it takes.
+void CallerConnection::widenReceiveBuffer() {
+    const size_t wide = std::min(kMaxWideReceive, m_parser->announced() / kWideReceiveDivisor);
+    const size_t usual = ReceiveBufferSize(m_socket);
+    if (wide > usual && !SetReceiveBufferSize(m_socket, wide)) {
+        m_usualReceive = usual;
+    }
+}
+
+void CallerConnection::resetReceiveBuffer() {
+    if (m_usualReceive > 0) {
+        SetReceiveBufferSize(m_socket, std::exchange(m_usualReceive, 0));
+    }
+}
+
 std::function<void()> CallerConnection::evictHandler() {
     return [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
--- a/src/request/CallerServer.cpp
+++ b/src/request/CallerServer.cpp
@@ -26,8 +26,10 @@
 }  // namespace
 
 Result<bool> CallerServer::start() {
+    const ListenQueue queue{static_cast<int>(MachineShares::kAcceptQueue),
+                            m_context.shares.receiveBuffer};
     BOOST_OUTCOME_TRY(m_acceptor,
-                      Listen(m_context.io, m_context.settings.callers, "gateway.listen"));
+                      Listen(m_context.io, m_context.settings.callers, "gateway.listen", queue));
     const auto take = [this](Tcp::socket socket) { accept(std::move(socket)); };
     Spawn(m_context.io.get_executor(), AcceptAll(m_acceptor, take));
     return true;
@@ -121,6 +123,7 @@
             co_await caller.linger();
             co_return std::nullopt;
         }
+        caller.widenReceiveBuffer();
         end = co_await caller.readOn();
     }
     m_idle.erase(caller.shared_from_this());
