Keep a request's parser while memory is taken for it

A connection has two shares of the request memory, for its read buffer and for its body. Taking memory for one of them can evict the other when the request has stalled; the handler then dropped the body that was being extended, or closed the share that was being taken for: a use after free that a caller can bring about.

While it takes memory a connection only notes that it has to give way, and ends its request when the taking has returned. The test shows that taking ends where the evicted share keeps its memory.

--- a/include/admission/RequestMemory.h
+++ b/include/admission/RequestMemory.h
@@ -38,8 +38,8 @@
     explicit RequestMemory(size_t bytes) : m_bytes(bytes) {}
 
     // Begins a request that is being read. `onEvict` is called at most once, when its memory is
-    // needed for another request: it must release all of it before it returns, and may close().
-    // Preconditions: none.
+    // needed for another request: it releases all of it before it returns, and may close() it, but
+    // not the holder that is taking memory. Preconditions: none.
     Holder open(MonoTime now, std::function<void()> onEvict);
 
     // Takes `bytes` more. Returns false, and takes none, if there is not enough memory and no
--- a/include/request/CallerConnection.h
+++ b/include/request/CallerConnection.h
@@ -103,6 +103,7 @@
     MonoTime m_bodyUntil;                   // and its body.
     size_t m_usualReceive = 0;              // Receive buffer before it was widened, 0: it was not.
     bool m_evicted = false;
+    bool m_isTaking = false;        // Memory for the request.
     asio::steady_timer m_readDone;  // Cancelled when a pending read ends.
     bool m_reading = false;
     bool m_gone = false;
--- a/src/request/CallerConnection.cpp
+++ b/src/request/CallerConnection.cpp
@@ -132,7 +132,12 @@
 Task<ReadEnd> CallerConnection::readOn() {
     while (!m_evicted) {
         enter(CallerPhase::kReading);
+        m_isTaking = true;
         const auto end = m_parser->parse(m_buffer, m_activity.since);
+        m_isTaking = false;
+        if (m_evicted) {
+            break;
+        }
         if (end) {
             enter(CallerPhase::kWorking);
             co_return *end;
@@ -171,9 +176,10 @@
         request.message = m_parser->head();
         request.body = m_parser->takeBody();
     } else if (m_parser) {
-        request.problem = m_parser->problem().empty()
-                              ? "it is too long, too late, or there is no memory for it"
-                              : m_parser->problem();
+        request.problem = m_parser->problem();
+    }
+    if (request.problem.empty() && end == ReadEnd::kTooLarge) {
+        request.problem = "a chunk's header or the trailers are too long";
     }
     m_parser.reset();
     return request;
@@ -204,11 +210,11 @@
     if (!m_bufferShare) {
         m_bufferShare = MemoryShare(m_memory, now, evictHandler());
     }
-    if (!m_bufferShare.take(held - m_bufferHeld, now)) {
-        return false;
-    }
-    m_bufferHeld = held;
-    return true;
+    m_isTaking = true;
+    const bool taken = m_bufferShare.take(held - m_bufferHeld, now);
+    m_isTaking = false;
+    m_bufferHeld = taken ? held : m_bufferHeld;
+    return taken && !m_evicted;
 }
 
 void CallerConnection::trimBuffer() {
@@ -243,9 +249,13 @@
     };
 }
 
-// Without a body there is nothing but the buffer, which is released with the connection.
+// Without a body there is nothing but the buffer, which is released with the connection. What a
+// request takes for one of its shares may evict the other: it ends once the taking has returned.
 void CallerConnection::evict() {
     m_evicted = true;
+    if (m_isTaking) {
+        return;
+    }
     m_bufferShare.reset();
     m_bufferHeld = 0;
     if (m_parser && m_parser->hasBody()) {
--- a/tests/RequestMemoryTest.cpp
+++ b/tests/RequestMemoryTest.cpp
@@ -134,3 +134,17 @@
 TEST_CASE("A machine with few descriptors still takes callers") {
     CHECK(MachineShares::Of({16 * kMegabyte, 0}).callerConnections == 1);
 }
+
+// Guards against memory that is taken for one share of a request from another share of the same
+// request, which cannot be released before the taking has returned.
+TEST_CASE("Taking memory ends where the request that has to give way keeps it") {
+    const auto memory = std::make_shared<RequestMemory>(16 * kMegabyte);
+    MemoryShare stalled(memory, {0}, [] {});
+    REQUIRE(stalled.take(12 * kMegabyte, {0}));
+    MemoryShare other(memory, {0}, [] {});
+    CHECK_FALSE(other.take(kLargeBody, {2 * RequestMemory::kWindowMs}));
+    CHECK(memory->evictions() == 1);
+    CHECK(memory->held() == 12 * kMegabyte);
+    stalled.reset();
+    CHECK(other.take(kLargeBody, {2 * RequestMemory::kWindowMs}));
+}
