Hold the list of a listener's connections without a closure in a coroutine

Cause: g++ 12 destroys a closure that is made in a coroutine and handed to a constructor once too often, so the reference that it held was released twice.

A class of its own holds the place in the list now.

--- a/include/net/HttpServer.h
+++ b/include/net/HttpServer.h
@@ -105,6 +105,7 @@
 
 private:
     using OpenStreams = std::list<boost::beast::tcp_stream*>;
+    class OpenPlace;
 
     HttpServer(Tcp::acceptor acceptor, const HttpLimits& limits, Handler handler);
     Task<> serve(Tcp::socket socket);
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -35,6 +35,20 @@
 
 }  // namespace
 
+// A stream's place in the list, until its task has ended.
+class HttpServer::OpenPlace {
+public:
+    OpenPlace(const std::shared_ptr<OpenStreams>& open, beast::tcp_stream& stream)
+        : m_open(open), m_place(open->insert(open->end(), &stream)) {}
+    OpenPlace(const OpenPlace&) = delete;
+    OpenPlace& operator=(const OpenPlace&) = delete;
+    ~OpenPlace() { m_open->erase(m_place); }
+
+private:
+    std::shared_ptr<OpenStreams> m_open;
+    OpenStreams::iterator m_place;
+};
+
 std::string_view HttpExchange::header(std::string_view name) const {
     const auto it = m_request.find(name);
     return it == m_request.end() ? std::string_view() : std::string_view(it->value());
@@ -147,9 +161,7 @@
     socket.set_option(Tcp::no_delay(true), ec);
     beast::tcp_stream stream(std::move(socket));
     makePlace();
-    const std::shared_ptr<OpenStreams> open = m_open;
-    const auto place = open->insert(open->end(), &stream);
-    const std::shared_ptr<void> leave(nullptr, [open, place](void*) { open->erase(place); });
+    const OpenPlace place(m_open, stream);
     beast::flat_buffer buffer;
     while (co_await serveOne(stream, buffer)) {
     }
