Read each object of the store by itself

What callers saw: with one entry of another writer whose value the JSON parser does not read (400 digits, 1e999, NaN, half of a surrogate pair, also in a field that no box uses), no request was served after all boxes had been started anew, and boxes that ran stopped following the list. Beside config/main such an object let the configuration age out without a restart.

Cause: ParseAnswer parsed an answer as one text; the parser ends at the first value that it cannot represent and loses the rest. A list went on after the last name that could be read, so a page without one was asked for again without end, and a record of versions that could not be read failed the read of all records.

Entries that are nested too deeply were read without what lies deep, and used: requests went to their address, and some were refused.

One that cannot be parsed is an error in its own place, in every list and watch, with its name and its removal where those can be read. A list goes on after the last name that is a text, or, where a page has none, after the bytes of the last one; a list that would read a page twice ends as an error (ListCursor). An unreadable record of versions stops the streams of its own service only, and an unreadable rollout order stays as it was also when a whole list is read. PagedListTest sets the name after which a page goes on, which the dialect now says.

--- a/include/peers/VersionRecordController.h
+++ b/include/peers/VersionRecordController.h
@@ -90,6 +90,7 @@
 private:
     struct Service {
         std::optional<RecordedVersions> record;
+        bool isUnreadable = false;  // The object in the store, at the last read.
         VersionRecordPlanner planner;
         VersionRecordPlanner::Inputs inputs;
         bool holdsBack = false;  // A version is listed that is not to be recorded yet.
@@ -98,6 +99,12 @@
         std::optional<MonoTime> dueSince;  // The record is to be changed since then.
     };
 
+    // What a read of all records brought.
+    struct ReadRecords {
+        std::map<ServiceId, RecordedVersions> records;
+        std::set<ServiceId> unreadable;
+    };
+
     void step(MonoTime now);
     void countVersions();
     void updateServices(MonoTime now);
@@ -107,7 +114,7 @@
     bool mayWrite(const Service& service, const RecordedVersions& next, MonoTime now) const;
     bool needsRead(MonoTime now) const;
     Task<> read();
-    Task<Result<bool>> readPages(std::map<ServiceId, RecordedVersions>& records);
+    Task<Result<bool>> readPages(ReadRecords& read);
     Task<> write(RecordedVersions record);
     void put(Service& service, RecordedVersions record, MonoTime now);
     std::optional<MonoTime> knownAsOf(const Service& service) const;
--- a/include/store/ObjectStore.h
+++ b/include/store/ObjectStore.h
@@ -57,7 +57,8 @@
 // One answer of a list call.
 struct ObjectPage {
     std::vector<StoredObject> objects;
-    bool more = false;  // Go on after the last name.
+    std::string lastName;
+    bool more = false;  // Go on after `lastName`.
     uint64_t revision = 0;
 };
 
@@ -83,10 +84,16 @@
     bool more = false;  // Go on after `lastName`.
 };
 
+// A record of versions that cannot be read.
+struct UnreadableRecord {
+    ServiceId service;  // By its name.
+    Error why;
+};
+
 // One answer of a list call for the records of versions.
 struct VersionRecordPage {
     std::vector<RecordedVersions> records;
-    std::vector<Error> unreadable;
+    std::vector<UnreadableRecord> unreadable;
     std::string lastName;
     bool more = false;  // Go on after `lastName`.
 };
--- a/include/store/PagedList.h
+++ b/include/store/PagedList.h
@@ -8,6 +8,7 @@
 // list is as of the end of the changes.
 #pragma once
 
+#include "include/store/ListCursor.h"
 #include "include/store/ObjectStore.h"
 
 #include <cstddef>
@@ -29,11 +30,13 @@
     void addChanges(ObjectChanges changes, bool isPart);
 
     // Whether another page follows the last one. Preconditions: none.
-    bool hasMorePages() const { return m_hasMore; }
+    bool hasMorePages() const { return m_cursor.hasMore(); }
+    // Whether the next page would be one that was read already. Preconditions: none.
+    bool isStuck() const { return m_cursor.isStuck(); }
     // The number of pages so far. Preconditions: none.
     size_t pages() const { return m_pages; }
     // The name after which the next page starts; empty before the first one. Preconditions: none.
-    const std::string& lastName() const { return m_lastName; }
+    const std::string& lastName() const { return m_cursor.after(); }
 
     // The revision since which changes are missing: that of the oldest page, or of the last
     // changes. Preconditions: there is a page.
@@ -54,9 +57,8 @@
 private:
     std::vector<StoredObject> m_objects;
     std::vector<StoredObject> m_changes;
-    std::string m_lastName;
+    ListCursor m_cursor;
     size_t m_pages = 0;
-    bool m_hasMore = true;
     bool m_lacksChanges = false;
     uint64_t m_oldestPage = 0;
     uint64_t m_newestPage = 0;
--- a/src/peers/StoredStreamController.cpp
+++ b/src/peers/StoredStreamController.cpp
@@ -1,6 +1,7 @@
 #include "include/peers/StoredStreamController.h"
 
 #include "include/base/Hash.h"
+#include "include/store/ListCursor.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -127,10 +128,9 @@
 
 Task<Result<bool>> StoredStreamController::readPages() {
     std::unordered_map<uint64_t, StreamOrigin> streams;
-    bool more = true;
-    std::string after;
-    while (more) {
-        const auto body = co_await m_store.read(m_dialect.storedStreamsTarget(after));
+    ListCursor cursor;
+    while (cursor.hasMore()) {
+        const auto body = co_await m_store.read(m_dialect.storedStreamsTarget(cursor.after()));
         if (body.has_error()) {
             co_return body.error();
         }
@@ -146,8 +146,10 @@
                 adopt(stored, ReadClocks().mono);
             }
         }
-        more = page.value().more;
-        after = page.value().lastName;
+        cursor.addPage(page.value().lastName, page.value().more);
+        if (cursor.isStuck()) {
+            co_return Error{ErrorCode::kProtocol, "store.list", "", "the pages repeat"};
+        }
     }
     m_read = std::move(streams);
     co_return true;
--- a/src/peers/VersionRecordController.cpp
+++ b/src/peers/VersionRecordController.cpp
@@ -2,6 +2,7 @@
 
 #include "include/observe/Events.h"
 #include "include/rollout/VersionHistory.h"
+#include "include/store/ListCursor.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -101,6 +102,10 @@
 void VersionRecordController::updateServices(MonoTime now) {
     for (auto& [name, service] : m_services) {
         updateInputs(name, service, now);
+        if (service.isUnreadable) {
+            service.dueSince.reset();
+            continue;
+        }
         const RecordedVersions* record = service.record ? &*service.record : nullptr;
         service.planner.observe(record, now);
         const auto next = service.planner.next(record, service.inputs, now);
@@ -125,7 +130,8 @@
     m_begun = m_begun.value_or(now);
     const bool knowsListed =
         std::all_of(m_services.begin(), m_services.end(), [&](const auto& service) {
-            return service.second.record || !m_listed.contains(service.first);
+            return service.second.record || service.second.isUnreadable ||
+                   !m_listed.contains(service.first);
         });
     m_settled = m_settled || (m_asOf && knowsListed) || m_services.empty() || m_failed ||
                 now - *m_begun >= kSettleTimeout;
@@ -222,14 +228,16 @@
         const Service& service = entry.second;
         const bool waits = service.dueSince && !m_sink.writes() && *m_asOf < *service.dueSince &&
                            now - *service.dueSince >= m_readDelay;
-        return waits || (isOld && (!service.record || !HasOneVersion(*service.record)));
+        const bool isSettled =
+            service.record && HasOneVersion(*service.record) && !service.isUnreadable;
+        return waits || (isOld && !isSettled);
     });
 }
 
 Task<> VersionRecordController::read() {
     const MonoTime begun = ReadClocks().mono;
-    std::map<ServiceId, RecordedVersions> records;
-    const auto result = co_await readPages(records);
+    ReadRecords read;
+    const auto result = co_await readPages(read);
     const MonoTime now = ReadClocks().mono;
     m_reading = false;
     m_metrics.count("onyx_version_record_calls_total",
@@ -241,8 +249,9 @@
         m_unsure = false;
         m_asOf = begun;
         for (auto& [name, service] : m_services) {
-            const auto found = records.find(name);
-            if (found != records.end()) {
+            service.isUnreadable = read.unreadable.contains(name);
+            const auto found = read.records.find(name);
+            if (found != read.records.end()) {
                 put(service, found->second, now);
             }
         }
@@ -250,12 +259,10 @@
     m_readEnded.cancel();
 }
 
-Task<Result<bool>> VersionRecordController::readPages(
-    std::map<ServiceId, RecordedVersions>& records) {
-    bool more = true;
-    std::string after;
-    while (more) {
-        const auto body = co_await m_store.read(m_dialect.versionRecordsTarget(after));
+Task<Result<bool>> VersionRecordController::readPages(ReadRecords& read) {
+    ListCursor cursor;
+    while (cursor.hasMore()) {
+        const auto body = co_await m_store.read(m_dialect.versionRecordsTarget(cursor.after()));
         if (body.has_error()) {
             co_return body.error();
         }
@@ -264,14 +271,15 @@
             co_return page.error();
         }
         for (const RecordedVersions& record : page.value().records) {
-            records[record.service] = record;
+            read.records[record.service] = record;
         }
-        // A record that cannot be read may hold any version.
-        if (!page.value().unreadable.empty()) {
-            co_return page.value().unreadable.front();
+        for (const UnreadableRecord& record : page.value().unreadable) {
+            read.unreadable.insert(record.service);
+        }
+        cursor.addPage(page.value().lastName, page.value().more);
+        if (cursor.isStuck()) {
+            co_return Error{ErrorCode::kProtocol, "store.list", "", "the pages repeat"};
         }
-        more = page.value().more;
-        after = page.value().lastName;
     }
     co_return true;
 }
@@ -313,7 +321,11 @@
     service.planner.observe(&*service.record, now);
 }
 
+// A record that cannot be read may hold any version.
 std::optional<MonoTime> VersionRecordController::knownAsOf(const Service& service) const {
+    if (service.isUnreadable) {
+        return std::nullopt;
+    }
     return service.agreed && m_asOf ? std::max(*service.agreed, *m_asOf) : m_asOf;
 }
 
@@ -367,14 +379,14 @@
         co_await m_readEnded.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
     const auto found = m_services.find(service);
-    co_return found == m_services.end() || !found->second.record
-        ? std::nullopt
-        : found->second.record->versionThatBegan(fingerprint);
+    const bool isKnown =
+        found != m_services.end() && found->second.record && !found->second.isUnreadable;
+    co_return isKnown ? found->second.record->versionThatBegan(fingerprint) : std::nullopt;
 }
 
 bool VersionRecordController::determines(const StreamOrigin& origin, uint64_t fingerprint) const {
     const auto found = m_services.find(ServiceId{origin.service});
-    return found != m_services.end() && found->second.record &&
+    return found != m_services.end() && found->second.record && !found->second.isUnreadable &&
            found->second.record->versionThatBegan(fingerprint) == origin.version;
 }
 
@@ -421,7 +433,7 @@
         noteTime(found->second, time);
         const MonoTime now = ReadClocks().mono;
         const bool may = allows(found->second, time) && isRecent(found->second, now);
-        if (may || m_failed || now >= until) {
+        if (may || m_failed || found->second.isUnreadable || now >= until) {
             co_return;
         }
         if (found->second.record && !isRecent(found->second, now)) {
--- a/src/state/StoreController.cpp
+++ b/src/state/StoreController.cpp
@@ -231,9 +231,14 @@
     changes.whole = update.whole;
     changes.revision = update.revision;
     std::map<std::string, const StoredObject*> last;  // The last object for a service counts.
+    const auto& known = m_rolloutList.orders();
     for (const StoredObject& object : update.objects) {
         if (const auto* error = std::get_if<Error>(&object.content)) {
             recordUnreadable("rollout " + object.name, error->text());
+            const auto order = known.find(ServiceId(object.name));
+            if (update.whole && order != known.end()) {
+                changes.changed.push_back(order->second);
+            }
         } else {
             last[object.name] = &object;
         }
--- a/src/store/PagedList.cpp
+++ b/src/store/PagedList.cpp
@@ -12,11 +12,7 @@
     m_newestPage = std::max(m_newestPage, page.revision);
     m_revision = m_oldestPage;
     ++m_pages;
-    m_hasMore = page.more && !page.objects.empty();
-    for (const StoredObject& object : page.objects) {
-        // An object that cannot be read may lack its name.
-        m_lastName = object.name.empty() ? m_lastName : object.name;
-    }
+    m_cursor.addPage(page.lastName, page.more && !page.objects.empty());
     std::move(page.objects.begin(), page.objects.end(), std::back_inserter(m_objects));
 }
 
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -191,6 +191,10 @@
             co_return page.error();
         }
         list.addPage(std::move(page.value()));
+        if (list.isStuck()) {
+            co_return Error{ErrorCode::kProtocol, "store.list", EndpointText(m_settings.store),
+                            "the pages repeat after " + list.lastName()};
+        }
         const bool isLong = list.pages() == 1 && list.hasMorePages() &&
                             source == ListSource::kCopy &&
                             m_settings.kind == ObjectKind::kUpstreams;
--- a/tests/PagedListTest.cpp
+++ b/tests/PagedListTest.cpp
@@ -67,6 +67,7 @@
         auto it = after.empty() ? objects.begin() : objects.upper_bound(after);
         for (; it != objects.end() && page.objects.size() < kPageSize; ++it) {
             page.objects.push_back(ObjectOf(it->first, static_cast<uint64_t>(it->second)));
+            page.lastName = it->first;
         }
         page.more = it != objects.end();
         return page;
