Use no upstream whose name or address no header can hold

Cause: the name of an entry becomes Expected-Instance, and its address Kv-Fetch. A name with a line break and an otherwise sound entry wrote headers of its own into requests to a replica; an address with a NUL byte passed the check of the address, which ends there.

Boxes of an earlier build may still pass one on, so it is left out of what a box learns from others as well. What arrives as it is in a header, such as a blank within or UTF-8, stays a name.

--- a/src/peers/PeerMessages.cpp
+++ b/src/peers/PeerMessages.cpp
@@ -1,5 +1,7 @@
 #include "include/peers/PeerMessages.h"
 
+#include "include/base/FieldValue.h"
+
 namespace onyx {
 
 namespace {
@@ -37,7 +39,8 @@
     changes.revision = reply.upstreams_revision;
     changes.removed = reply.removed;
     for (const auto& entry : reply.upstreams) {
-        if (entry && !entry->id.empty()) {
+        // Boxes of an earlier build pass on entries whose texts no request can name.
+        if (entry && IsFieldValue(entry->id) && IsFieldValue(entry->address)) {
             changes.changed.push_back(DecodeUpstream(*entry));
         }
     }
