Take no answer for whole whose connection failed for the write

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written; the caller got the part as a whole answer, and a stream that may not be resumed ended as if it were complete.

Cause: the system reports a reset once, to the operation that asks first. UpstreamExchange writes beside its read: the write got the error, the read then saw an orderly end, and an answer without a length ends with its connection. A time-out of the system (TCP_USER_TIMEOUT, keep-alive) goes the same way, and the upstream counted as ended in place of unreachable.

Evidence, on the code before: "An answer without a length that breaks off while*" and "A stream that breaks off while*" fail, with a reset and with an upstream that reads nothing more until the system's time-out.

Why this works: such an answer is complete only once the request is written without an error. A write that is under way is waited for, within the time for the answer, so that an upstream that closes its side early and reads the rest is answered as before ("An answer without a length that ends before the upload*" passes on both). A time-out that the write was told counts as one of the exchange. Other places where a read runs beside a write (frames between boxes, callers' connections) take no end of a connection for the end of a message. The same exchange reads relayed answers and continuations.

--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -111,6 +111,7 @@
     void endWait(const boost::system::error_code& ec);
     void checkSilenceAt(MonoTime at);
     void onSilence(MonoTime due);
+    Task<AnswerRead> endWithConnection(MonoTime until);
     AnswerRead endOf(const boost::system::error_code& ec);
     bool isOurs() const;
     void noteEnd(ConnectionEnd end);
@@ -121,6 +122,7 @@
     ConnectionBounds m_bounds;
     std::shared_ptr<UpstreamConnection> m_connection;
     asio::steady_timer m_delivery;  // Looks whether the request is delivered.
+    asio::steady_timer m_writeEnded;  // Cancelled when the request is written, or cannot be.
     asio::steady_timer m_silence;   // Looks whether an attempt at a silent upstream is given up.
     std::function<bool()> m_mayGiveUp;
     uint64_t m_waits = 0;   // So far; odd while one is under way.
@@ -128,7 +130,8 @@
     std::unique_ptr<Parser> m_parser;
     UpstreamFacts m_facts;
     ConnectionReport m_report;
-    bool m_written = false;
+    // How the write of the request ended; nothing while it is under way.
+    std::optional<boost::system::error_code> m_writeEnd;
     bool m_cancelled = false;
     bool m_spoiled = false;  // Something unexpected came on the connection.
     bool m_unreachable = false;
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -47,6 +47,7 @@
       m_upstream(std::move(upstream)),
       m_requestId(std::move(requestId)),
       m_delivery(context.io),
+      m_writeEnded(context.io, asio::steady_timer::time_point::max()),
       m_silence(context.io) {}
 
 Task<Result<bool>> UpstreamExchange::connect(Millis maxIdle, const ConnectionBounds& bounds) {
@@ -150,9 +151,11 @@
     for (const std::string_view piece : held->body->pieces()) {
         bytes.push_back(asio::buffer(piece));
     }
-    asio::async_write(
-        connection->stream, bytes,
-        [self, connection, held](const beast::error_code& ec, size_t) { self->m_written = !ec; });
+    asio::async_write(connection->stream, bytes,
+                      [self, connection, held](const beast::error_code& ec, size_t) {
+                          self->m_writeEnd = ec;
+                          self->m_writeEnded.cancel();
+                      });
 }
 
 // The system cancels nothing that has completed, and a read is made of several: one that has not
@@ -258,8 +261,9 @@
         return AnswerRead::kCancelled;
     }
     m_spoiled = true;
-    // The system's own word, from ConnectionBounds or keep-alive probes; Beast's is another.
-    m_unreachable = ec == asio::error::timed_out;
+    // The system's own word, from ConnectionBounds or keep-alive probes; Beast's is another. The
+    // system may have said it to the write.
+    m_unreachable = ec == asio::error::timed_out || m_writeEnd == asio::error::timed_out;
     const bool late = ec == beast::error::timeout || m_gaveUp;
     const bool byUs = late || IsMalformed(ec);
     noteEnd(m_unreachable ? ConnectionEnd::kSystem
@@ -311,6 +315,24 @@
             co_return AnswerRead::kPart;
         }
     }
+    if (m_parser->need_eof()) {
+        co_return co_await endWithConnection(wait.until);
+    }
+    co_return AnswerRead::kComplete;
+}
+
+// The end of an answer that ends with its connection. The system reports a reset, or a time-out of
+// its own, once: if the write takes the report, the read sees an orderly end.
+Task<AnswerRead> UpstreamExchange::endWithConnection(MonoTime until) {
+    while (!m_writeEnd && !m_cancelled && ReadClocks().mono < until) {
+        m_writeEnded.expires_after(Left(until));
+        beast::error_code ec;
+        co_await m_writeEnded.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    const beast::error_code ec = m_writeEnd.value_or(beast::error::timeout);
+    if (m_cancelled || ec) {
+        co_return endOf(ec);
+    }
     co_return AnswerRead::kComplete;
 }
 
@@ -340,7 +362,8 @@
 }
 
 bool UpstreamExchange::isClean() const {
-    return !m_cancelled && !m_spoiled && m_written && m_parser && m_parser->is_done() &&
+    const bool isWritten = m_writeEnd && !*m_writeEnd;
+    return !m_cancelled && !m_spoiled && isWritten && m_parser && m_parser->is_done() &&
            !m_parser->need_eof() && m_parser->get().keep_alive() &&
            m_connection->buffer.size() == 0;
 }
