Take no head for an answer's whose status is none

What callers saw: an upstream in trouble sent an answer with status 000 whose body was an answer with the request's id; the caller got the inner one. Statuses from 600 on reached callers as they came, and a 101 was waited on until the deadline.

Cause: UpstreamExchange took each status below 200 for an interim answer, which another head follows, and the parser takes any three digits.

Evidence: "A status that is none*" (000, 001, 099, 101, 600, 999, with and without a length) fails on the code before with 200 and the inner body.

Why this works: IsAnswerHead, asked by all who read answers of peers (UpstreamExchange, HttpClient, StoreWatch), takes 100 to 599 without 101. What is no answer ends the exchange at once as unclear: 502, or another attempt where the route allows it. Interim answers are passed over as before.

--- a/include/base/HttpStatus.h
+++ b/include/base/HttpStatus.h
@@ -5,6 +5,8 @@
 
 // Status codes as sent on the wire, and the first codes of ranges.
 struct HttpStatus {
+    static constexpr unsigned kFirstInterim = 100;
+    static constexpr unsigned kSwitchingProtocols = 101;
     static constexpr unsigned kOk = 200;
     static constexpr unsigned kFirstFinal = 200;  // Lower codes are interim: another head follows.
     static constexpr unsigned kFirstRedirect = 300;
@@ -21,6 +23,7 @@
     static constexpr unsigned kBadGateway = 502;
     static constexpr unsigned kUnavailable = 503;
     static constexpr unsigned kGatewayTimeout = 504;
+    static constexpr unsigned kEnd = 600;  // No status from here on.
 };
 
 }  // namespace onyx
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "include/net/HttpClient.h"
 
+#include "include/net/AnswerForm.h"
 #include "include/net/SocketTools.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -88,6 +89,9 @@
         co_return StreamError("http.head", stream->m_peer, ec);
     }
     const auto& head = stream->m_parser.get();
+    if (!IsAnswerHead(head)) {
+        co_return Error{ErrorCode::kUnknown, "http.head", stream->m_peer, "no answer"};
+    }
     stream->m_head.status = head.result_int();
     stream->m_head.contentType = std::string(head[http::field::content_type]);
     for (const auto& field : head) {
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -1,6 +1,7 @@
 #include "include/request/UpstreamExchange.h"
 
 #include "include/base/HttpStatus.h"
+#include "include/net/AnswerForm.h"
 #include "include/net/SocketTools.h"
 #include "include/observe/Events.h"
 
@@ -251,6 +252,11 @@
     if (ec || m_cancelled) {
         co_return endOf(ec);
     }
+    if (!IsAnswerHead(head())) {
+        m_spoiled = true;
+        noteEnd(ConnectionEnd::kReset);
+        co_return AnswerRead::kBroken;
+    }
     m_facts = m_context.dialect.readUpstream(head());
     co_return AnswerRead::kPart;
 }
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -3,6 +3,7 @@
 #include "include/base/HttpStatus.h"
 #include "include/freshness/StateAge.h"
 #include "include/freshness/StorePacing.h"
+#include "include/net/AnswerForm.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -423,6 +424,11 @@
         co_return Error{ErrorCode::kTimeout, "store.call", EndpointText(m_settings.store),
                         ec.message()};
     }
+    if (!IsAnswerHead(parser.get())) {
+        disconnect();
+        co_return Error{ErrorCode::kProtocol, "store.call", EndpointText(m_settings.store),
+                        "no answer"};
+    }
     Answer answer{parser.get().result_int(), std::move(parser.get().body())};
     if (!parser.get().keep_alive()) {
         disconnect();
