Take no answer in a transfer coding other than chunked

What callers saw: an upstream sent "Transfer-Encoding: xchunked"; the caller got the coded bytes as a whole 200.

Cause: the parser takes a body in a coding that it does not know for one that ends with its connection, and takes "gzip, chunked" for chunked; the header is not passed on, so the caller cannot see that the body is coded.

Why this works: IsAnswerHead takes an answer without the header, or with one that says chunked and nothing else.

--- a/tests/AnswerFormTest.cpp
+++ b/tests/AnswerFormTest.cpp
@@ -24,3 +24,18 @@
         CHECK(IsAnswerHead(HeadOf(status)));
     }
 }
+
+// Guards against a body that is passed on as it is coded.
+TEST_CASE("A head is that of an answer if its transfer coding is chunked, or none") {
+    for (const char* coding : {"xchunked", "gzip", "gzip, chunked", "chunked, gzip", "identity",
+                               "chunked;q=1", "chunked, chunked", ""}) {
+        auto head = HeadOf(200);
+        head.insert(http::field::transfer_encoding, coding);
+        CHECK_FALSE(IsAnswerHead(head));
+    }
+    auto head = HeadOf(200);
+    head.insert(http::field::transfer_encoding, "Chunked");
+    CHECK(IsAnswerHead(head));
+    head.insert(http::field::transfer_encoding, "xchunked");
+    CHECK_FALSE(IsAnswerHead(head));
+}
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -14,18 +14,28 @@
 
 namespace {
 
+// What a server does after its answer.
+enum class AfterAnswer : uint8_t { kStays, kCloses, kResets };
+
 // A server that takes one connection and answers with `answer`, or never if that is empty.
 class OneAnswerServer {
 public:
-    OneAnswerServer(asio::io_context& io, std::string answer)
+    OneAnswerServer(asio::io_context& io, std::string answer,
+                    AfterAnswer after = AfterAnswer::kStays)
         : m_acceptor(io, Endpoint(asio::ip::address_v4::loopback(), 0)),
           m_socket(io),
           m_answer(std::move(answer)) {
-        m_acceptor.async_accept(m_socket, [this](const boost::system::error_code&) {
+        m_acceptor.async_accept(m_socket, [this, after](const boost::system::error_code&) {
+            boost::system::error_code ec;
             if (!m_answer.empty()) {
-                boost::system::error_code ec;
                 asio::write(m_socket, asio::buffer(m_answer), ec);
             }
+            if (after == AfterAnswer::kCloses) {
+                m_socket.shutdown(Tcp::socket::shutdown_send, ec);
+            } else if (after == AfterAnswer::kResets) {
+                SetResetOnClose(m_socket);
+                m_socket.close(ec);
+            }
         });
     }
 
@@ -87,6 +97,30 @@
     CHECK(server.end() == SocketPeek::kEnded);
 }
 
+// Guards against an answer of the store that breaks off and is taken for a whole one.
+TEST_CASE("An answer without a length is whole unless its connection is reset") {
+    const auto after = GENERATE(AfterAnswer::kCloses, AfterAnswer::kResets);
+    asio::io_context io;
+    OneAnswerServer server(io, "HTTP/1.1 200 OK\r\n\r\na part", after);
+    const auto answer = Call(io, server.endpoint(), 5000);
+    REQUIRE(answer.has_value());
+    CHECK(answer->has_value() == (after == AfterAnswer::kCloses));
+}
+
+// Guards against heads that are none of an answer, whose bodies look like one.
+TEST_CASE("A call that gets a status or a transfer coding that is none has no answer") {
+    const std::string head =
+        GENERATE("HTTP/1.1 000 None", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 None",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked");
+    asio::io_context io;
+    OneAnswerServer server(io, head + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                           AfterAnswer::kCloses);
+    const auto answer = Call(io, server.endpoint(), 5000);
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->has_error());
+    CHECK(answer->error().code == ErrorCode::kUnknown);
+}
+
 // The body was read for as long as it came.
 TEST_CASE("A call whose answer has no end fails once its body is too long") {
     asio::io_context io;
