Say which errors reading an answer to a write has

The answers to writes are parsed as objects now: what cannot be parsed is kBadInput of the object, like any of its fields. UpstreamExchange::read says when a body that ends with its connection is complete.

--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -120,15 +120,15 @@
     virtual StoreWrite rolloutStatusWrite(const RolloutOrder& order,
                                           const RolloutStatus& status) const = 0;
 
-    // Body of an answer to such a call: the order as it is now. Errors: kProtocol, kBadInput naming
-    // the field. Preconditions: none.
+    // Body of an answer to such a call: the order as it is now. Errors: kBadInput naming the field.
+    // Preconditions: none.
     virtual Result<RolloutOrder> readRollout(std::string_view body) const = 0;
 
     // Target of a list call for stored streams that goes on after the object `after`, from a copy
     // of the store; one page of its answer; the call that makes or replaces the object of a box,
     // provided that it is at the revision that `stored` names (0: there is none yet); and the
-    // object in the answer to such a call. Errors: kProtocol, kBadInput naming the field.
-    // Preconditions: none.
+    // object in the answer to such a call. Errors: kProtocol of a page, kBadInput of an object,
+    // naming the field. Preconditions: none.
     virtual std::string storedStreamsTarget(std::string_view after) const = 0;
     virtual Result<StoredStreamsPage> readStoredStreamsPage(std::string_view body) const = 0;
     virtual StoreWrite storedStreamsWrite(const StoredStreams& stored) const = 0;
@@ -144,8 +144,8 @@
     // `record` names; 0: there is none yet. Preconditions: none.
     virtual StoreWrite versionRecordWrite(const RecordedVersions& record) const = 0;
 
-    // Body of an answer to such a call: the record as it is now. Errors: kProtocol, kBadInput
-    // naming the field. Preconditions: none.
+    // Body of an answer to such a call: the record as it is now. Errors: kBadInput naming the field.
+    // Preconditions: none.
     virtual Result<RecordedVersions> readVersionRecord(std::string_view body) const = 0;
 
     // A configuration as another box passed it on. Errors: kBadInput naming the field.
--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -57,7 +57,8 @@
     // Preconditions: connect() succeeded; called once.
     Task<AnswerRead> send(OutgoingRequest message, AnswerWait wait);
 
-    // Reads more of the body into `piece`. Preconditions: send() ended with kPart.
+    // Reads more of the body into `piece`. A body that ends with its connection is complete once the
+    // request is written. Preconditions: send() ended with kPart.
     Task<AnswerRead> read(std::string& piece, AnswerWait wait);
 
     // Sets what is asked, every kSilenceCheckPeriod, while the upstream is silent for longer than
