--- a/include/dialect/Dialect.h
+++ b/include/dialect/Dialect.h
@@ -144,8 +144,8 @@
     // `record` names; 0: there is none yet. Preconditions: none.
     virtual StoreWrite versionRecordWrite(const RecordedVersions& record) const = 0;
 
-    // Body of an answer to such a call: the record as it is now. Errors: kBadInput naming the field.
-    // Preconditions: none.
+    // Body of an answer to such a call: the record as it is now. Errors: kBadInput naming the
+    // field. Preconditions: none.
     virtual Result<RecordedVersions> readVersionRecord(std::string_view body) const = 0;
 
     // A configuration as another box passed it on. Errors: kBadInput naming the field.
--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -57,8 +57,8 @@
     // Preconditions: connect() succeeded; called once.
     Task<AnswerRead> send(OutgoingRequest message, AnswerWait wait);
 
-    // Reads more of the body into `piece`. A body that ends with its connection is complete once the
-    // request is written. Preconditions: send() ended with kPart.
+    // Reads more of the body into `piece`. A body that ends with its connection is complete once
+    // the request is written. Preconditions: send() ended with kPart.
     Task<AnswerRead> read(std::string& piece, AnswerWait wait);
 
     // Sets what is asked, every kSilenceCheckPeriod, while the upstream is silent for longer than
@@ -122,9 +122,9 @@
     std::string m_requestId;
     ConnectionBounds m_bounds;
     std::shared_ptr<UpstreamConnection> m_connection;
-    asio::steady_timer m_delivery;  // Looks whether the request is delivered.
+    asio::steady_timer m_delivery;    // Looks whether the request is delivered.
     asio::steady_timer m_writeEnded;  // Cancelled when the request is written, or cannot be.
-    asio::steady_timer m_silence;   // Looks whether an attempt at a silent upstream is given up.
+    asio::steady_timer m_silence;     // Looks whether an attempt at a silent upstream is given up.
     std::function<bool()> m_mayGiveUp;
     uint64_t m_waits = 0;   // So far; odd while one is under way.
     bool m_gaveUp = false;  // The wait under way is to end.
