--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -54,6 +54,17 @@
     CHECK(ReadUpstreamChanges(reply)->changed.size() == 1);
 }
 
+// Guards against a box of an earlier build that passes on what writes lines into requests.
+TEST_CASE("An entry whose id or address no header can hold is skipped") {
+    for (const std::string& text : {std::string("a\r\nTenant: x"), std::string("a\0b", 3)}) {
+        wire::KnowledgeReplyT reply = ReplyTo({});
+        reply.upstreams.front()->id = text;
+        CHECK(ReadUpstreamChanges(reply)->changed.size() == 1);
+        reply.upstreams.back()->address = text;
+        CHECK(ReadUpstreamChanges(reply)->changed.empty());
+    }
+}
+
 TEST_CASE("An entry of an earlier version, which has no start time, is decoded") {
     wire::KnowledgeReplyT reply = ReplyTo({});
     reply.upstreams.front()->started_ms = 0;
