--- a/include/request/Attempt.h
+++ b/include/request/Attempt.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace onyx {
@@ -26,6 +27,8 @@
     const RequestAttempts& attempts;  // So far, without this one.
     bool first = false;               // No attempt of the request was sent before.
     MonoTime arrived;                 // The caller's request, at this box.
+    // The connections to upstreams that carried the request before, by number.
+    std::span<const uint64_t> usedConnections = {};
     // Whether the attempt may be given up for another one, which is assured then.
     std::function<bool()> mayGiveUp = {};
 };
--- a/include/request/ConnectionReport.h
+++ b/include/request/ConnectionReport.h
@@ -37,8 +37,9 @@
 // What an attempt's connection was and how it ended: says whether bytes of a request that was given
 // up may still be on their way.
 struct ConnectionReport {
-    bool kept = false;  // It was taken from the pool, not opened for this attempt.
-    Millis idle = 0;    // There, since its last answer.
+    uint64_t number = 0;  // Of the connection, in this process; 0: there was none.
+    bool kept = false;    // It was taken from the pool, not opened for this attempt.
+    Millis idle = 0;      // There, since its last answer.
     std::optional<size_t> unacknowledged;  // Bytes, when this box ended it; else nothing.
     ConnectionEnd end = ConnectionEnd::kNone;
     std::string connectError;  // Why it could not be opened; empty: it was, or nobody tried.
--- a/include/request/RequestProgress.h
+++ b/include/request/RequestProgress.h
@@ -3,8 +3,10 @@
 
 #include "include/request/AnswerRelay.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace onyx {
 
@@ -16,8 +18,10 @@
     int unreached = 0;                  // Attempts in a row that could not connect.
     std::string upstream;               // Of the last attempt; a box where it was relayed.
     std::string version;                // Of the upstream of the attempt under way; empty: unknown.
-    MonoTime attemptStart;              // Of the last attempt.
-    bool isAtUpstream = false;          // An attempt of this box is under way.
+    // The connections to upstreams that carried the request, by number.
+    std::vector<uint64_t> usedConnections;
+    MonoTime attemptStart;      // Of the last attempt.
+    bool isAtUpstream = false;  // An attempt of this box is under way.
 };
 
 }  // namespace onyx
--- a/include/request/UpstreamExchange.h
+++ b/include/request/UpstreamExchange.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace onyx {
@@ -44,9 +45,13 @@
     // Preconditions: the context outlives the exchange.
     UpstreamExchange(RequestContext& context, Upstream upstream, std::string requestId);
 
-    // Takes a kept connection that was idle for at most `maxIdle`, or opens one.
-    // Errors: kUnavailable, kTimeout; nothing was sent then. Preconditions: called once.
-    Task<Result<bool>> connect(Millis maxIdle, const ConnectionBounds& bounds);
+    // Takes a kept connection that was idle for at most `maxIdle`, or opens one. `used`: the
+    // numbers of the connections that carried this request before. The answer that came there may
+    // come a second time, under the same id, so none of them carries the request again.
+    // Errors: kUnavailable, kTimeout; nothing was sent then. Preconditions: called once; `used`
+    // outlives the call.
+    Task<Result<bool>> connect(Millis maxIdle, const ConnectionBounds& bounds,
+                               std::span<const uint64_t> used);
 
     // Uses a connection that is open, in place of connect(). It is not kept afterwards.
     // Errors: kUnavailable if it has ended. Preconditions: called once.
@@ -100,7 +105,8 @@
 
     // Sets the socket's options. Errors: kUnavailable.
     Result<bool> prepareSocket();
-    bool takeKept(Millis maxIdle);
+    bool takeKept(Millis maxIdle, std::span<const uint64_t> used);
+    void openNew();
     void write(OutgoingRequest message);
     void awaitDelivery();
     void startKeepAlive();
--- a/include/state/UpstreamPool.h
+++ b/include/state/UpstreamPool.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace onyx {
@@ -22,6 +23,7 @@
 
     explicit UpstreamConnection(const asio::any_io_executor& executor) : stream(executor) {}
 
+    uint64_t number = 0;  // Unlike that of any other connection of this pool.
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{kMaxBuffered};
     MonoTime lastUsed;
@@ -36,15 +38,13 @@
 
     explicit UpstreamPool(asio::any_io_executor executor) : m_executor(std::move(executor)) {}
 
-    // A kept connection that was idle for at most `maxIdle` and has nothing to read, or nullptr.
-    // Preconditions: none.
+    // The newest kept connection that was idle for at most `maxIdle`, has nothing to read and is
+    // none of those that `except` names by number, or nullptr. Preconditions: none.
     std::shared_ptr<UpstreamConnection> take(const std::string& upstream, Millis maxIdle,
-                                             MonoTime now);
+                                             MonoTime now, std::span<const uint64_t> except);
 
     // A new connection, not yet open. Preconditions: none.
-    std::shared_ptr<UpstreamConnection> create() const {
-        return std::make_shared<UpstreamConnection>(m_executor);
-    }
+    std::shared_ptr<UpstreamConnection> create();
 
     // Keeps a connection whose last answer was read to its end. Preconditions: nothing of an
     // answer is due on it.
@@ -59,6 +59,7 @@
 
 private:
     asio::any_io_executor m_executor;
+    uint64_t m_lastNumber = 0;  // Of a connection.
     std::map<std::string, std::deque<std::shared_ptr<UpstreamConnection>>> m_idle;
 };
 
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -136,7 +136,8 @@
     }
     const ConnectionBounds bounds =
         ConnectionBounds::ForObjective(route.objective, settings.connectTimeout);
-    const Result<bool> connected = co_await m_exchange->connect(maxIdle, bounds);
+    const Result<bool> connected =
+        co_await m_exchange->connect(maxIdle, bounds, m_request.usedConnections);
     if (connected.has_error()) {
         m_connectError = connected.error().message;
     } else if (m_exchange->isNewConnection()) {
--- a/src/request/AttemptStep.cpp
+++ b/src/request/AttemptStep.cpp
@@ -4,12 +4,16 @@
 
 Task<Verdict> AttemptStep::run(const AttemptPlace& place, const std::function<bool()>& mayGiveUp) {
     noteBegin(place);
-    const AttemptRequest request{m_request.message,   m_request.body,     m_request.facts,
-                                 m_request.admission, m_judge.attempts(), !m_progress.sent,
-                                 m_request.arrived,   mayGiveUp};
+    const AttemptRequest request{
+        m_request.message,  m_request.body,   m_request.facts,   m_request.admission,
+        m_judge.attempts(), !m_progress.sent, m_request.arrived, m_progress.usedConnections,
+        mayGiveUp};
     Attempt attempt(m_context, m_caller, *m_progress.answer, request, place);
     AttemptReport report = co_await attempt.run();
-    m_progress.sent = m_progress.sent || attempt.sent();
+    if (attempt.sent()) {
+        m_progress.sent = true;
+        m_progress.usedConnections.push_back(report.connection.number);
+    }
     m_progress.isAtUpstream = false;
     m_context.quarantine.noteAttemptEnded(m_request.fingerprints(), m_progress.attemptStart);
     noteEnd(place, report);
--- a/src/request/RequestLog.cpp
+++ b/src/request/RequestLog.cpp
@@ -137,6 +137,7 @@
               {"unreachable", YesNo(report.unreachable)},
               {"took_ms", std::to_string(report.took)},
               {"connection", connection.kept ? "kept" : "new"},
+              {"connection_number", std::to_string(connection.number)},
               {"rested_ms", std::to_string(connection.idle)},
               {"connect_error", connection.connectError},
               {"ended_by", std::string(ConnectionEndName(connection.end))},
--- a/src/request/UpstreamExchange.cpp
+++ b/src/request/UpstreamExchange.cpp
@@ -51,16 +51,17 @@
       m_writeEnded(context.io, asio::steady_timer::time_point::max()),
       m_silence(context.io) {}
 
-Task<Result<bool>> UpstreamExchange::connect(Millis maxIdle, const ConnectionBounds& bounds) {
+Task<Result<bool>> UpstreamExchange::connect(Millis maxIdle, const ConnectionBounds& bounds,
+                                             std::span<const uint64_t> used) {
     m_bounds = bounds;
-    if (takeKept(maxIdle)) {
+    if (takeKept(maxIdle, used)) {
         co_return true;
     }
     const Result<Endpoint> peer = ParseEndpoint(m_upstream.address);
     if (peer.has_error()) {
         co_return peer.error();
     }
-    m_connection = m_context.records.pool().create();
+    openNew();
     m_context.log.connecting();
     auto& stream = m_connection->stream;
     stream.expires_after(std::chrono::milliseconds(bounds.connect));
@@ -77,14 +78,19 @@
 
 Result<bool> UpstreamExchange::adopt(Tcp::socket socket, const ConnectionBounds& bounds) {
     m_bounds = bounds;
-    m_connection = m_context.records.pool().create();
+    openNew();
     m_connection->stream.socket() = std::move(socket);
     return prepareSocket();
 }
 
-bool UpstreamExchange::takeKept(Millis maxIdle) {
+void UpstreamExchange::openNew() {
+    m_connection = m_context.records.pool().create();
+    m_report.number = m_connection->number;
+}
+
+bool UpstreamExchange::takeKept(Millis maxIdle, std::span<const uint64_t> used) {
     const MonoTime now = ReadClocks().mono;
-    m_connection = m_context.records.pool().take(m_upstream.id, maxIdle, now);
+    m_connection = m_context.records.pool().take(m_upstream.id, maxIdle, now, used);
     if (!m_connection) {
         return false;
     }
@@ -97,6 +103,7 @@
         return false;
     }
     m_report.kept = true;
+    m_report.number = m_connection->number;
     m_report.idle = now - m_connection->lastUsed;
     return true;
 }
--- a/src/state/UpstreamPool.cpp
+++ b/src/state/UpstreamPool.cpp
@@ -26,21 +26,32 @@
 
 }  // namespace
 
+std::shared_ptr<UpstreamConnection> UpstreamPool::create() {
+    auto connection = std::make_shared<UpstreamConnection>(m_executor);
+    connection->number = ++m_lastNumber;
+    return connection;
+}
+
 std::shared_ptr<UpstreamConnection> UpstreamPool::take(const std::string& upstream, Millis maxIdle,
-                                                       MonoTime now) {
+                                                       MonoTime now,
+                                                       std::span<const uint64_t> except) {
     const auto it = m_idle.find(upstream);
     if (it == m_idle.end()) {
         return nullptr;
     }
     auto& idle = it->second;
-    while (!idle.empty()) {
-        std::shared_ptr<UpstreamConnection> newest = idle.back();
-        if (IdleTooLong(*newest, maxIdle, now)) {
+    for (size_t left = idle.size(); left > 0; --left) {
+        const auto newest = idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
+        if (IdleTooLong(**newest, maxIdle, now)) {
             return nullptr;  // The others were idle for longer.
         }
-        idle.pop_back();
-        if (IsQuiet(*newest)) {
-            return newest;
+        if (std::find(except.begin(), except.end(), (*newest)->number) != except.end()) {
+            continue;
+        }
+        std::shared_ptr<UpstreamConnection> taken = std::move(*newest);
+        idle.erase(newest);
+        if (IsQuiet(*taken)) {
+            return taken;
         }
     }
     return nullptr;
