Replace silent connections to the store within the bound on what they watch

Cause: connections to the store had gone silent while new ones worked. The wait of a watch and the time for its answer were never added up: 888 + 1,500 ms for the configuration, 4,000 + 1,500 ms for the list of upstreams, whose wait no bound limited.

The list's watch ended with a time-out after the last late request, and the next call brought the drain; the configuration was watched again on a new connection two seconds before, which told nothing to the list's watch. Ruled out: a retry that fails, and news of other boxes that are not applied (all boxes were in the same state).

Why this works: the time for an answer is a part of what the wait leaves of its bound, and twice the lateness of the last answer where the store is slow. The list keeps its long wait, since it is replaced once another watch of the box had to be, and once another answer tells a newer revision that does not come here: the store counts one revision for all objects, so while that does not rise nothing is missed. No call is added while nothing changes and nothing is silent. Where the watch of the configuration is set too long for this, the list waits for less.

--- a/include/freshness/StorePacing.h
+++ b/include/freshness/StorePacing.h
@@ -29,6 +29,8 @@
     Millis followPeriod = 333;    // Interval of the queries of a follower to its watcher.
     Millis followedPause = 125;   // Pause after changes of upstreams, of a box that others follow.
     Millis followedWait = 500;    // Longest wait of a watch of a box that others follow.
+    Millis configurationBound = 3600;  // The configuration may be used for all up to this age.
+    Millis upstreamBound = 3600;       // A change of upstreams has to take effect within this.
 };
 
 // The part of a bound on the age of state that refreshing through peers uses; see StoreCallPolicy.
@@ -40,8 +42,8 @@
 
 // Fits the times of watchers and followers into two bounds: a draining upstream gets no more work
 // after `drainBound`, and a configuration may be used for everything up to the age `maxAge`; both
-// in milliseconds. Sets maxChangePause, followPeriod, followedPause and followedWait of `settings`.
-// Preconditions: both >= 0. Thread safety: any thread.
+// in milliseconds. Sets maxChangePause, followPeriod, followedPause, followedWait and the two
+// bounds of `settings`. Preconditions: both >= 0. Thread safety: any thread.
 FollowerBounds FitFollowers(Millis drainBound, Millis maxAge, StorePacingSettings& settings);
 
 // How long a configuration watch is held if a configuration may be used for everything up to the
@@ -51,10 +53,27 @@
 Millis ConfigurationWait(Millis maxAge);
 
 // How long a watch for orders of the operators (evacuations, rollouts) is held if an order has to
-// take effect within `bound`: a watch whose connection is silent is abandoned and sent again well
-// within the bound. Preconditions: bound >= 0. Thread safety: any thread.
+// take effect within `bound`: a watch whose connection is silent is abandoned and sent again within
+// the bound; see AnswerTime(). Preconditions: bound >= 0. Thread safety: any thread.
 Millis OrderWait(Millis bound);
 
+// How long the watch of the list of upstreams is held at most. Where the watch of the configuration
+// shows a silent store within the bound on upstreams, this is settings.upstreamWait, and else what
+// fits into that bound. Preconditions: none. Thread safety: any thread.
+Millis UpstreamWait(const StorePacingSettings& settings);
+
+// Whether a watch that is held for `wait` shows in time that its connection is silent, if what it
+// watches has to take effect within `bound`. If not, it relies on other watches of the box.
+// Preconditions: both >= 0. Thread safety: any thread.
+bool ShowsSilence(Millis wait, Millis bound);
+
+// How late the answer to a watch may be before its connection counts as silent: a part of what
+// `wait` leaves of `bound`; the rest is for the next connection and the answer there. At most
+// `timeout`; `timeout` if the watch does not show silence in time. `lateness`: how late the last
+// answer of the store was. A slow store gets twice that, since to abandon its answers would only
+// add calls. All in milliseconds. Preconditions: all >= 0. Thread safety: any thread.
+Millis AnswerTime(Millis wait, Millis bound, Millis timeout, Millis lateness);
+
 // Inputs of the pacing besides the settings.
 struct StorePacingInputs {
     bool watchesForOthers = false;  // Other boxes follow the box or are about to.
--- a/include/standin/FakeLink.h
+++ b/include/standin/FakeLink.h
@@ -40,6 +40,11 @@
     // Lets nothing pass from now on, or everything again. Preconditions: none.
     void setCut(bool cut) { m_cut = cut; }
 
+    // Lets nothing pass any more on the connections that are open, for good and without a word:
+    // their ends learn nothing. New ones work. Only those whose last forwarded bytes hold `text`;
+    // empty: all. Preconditions: none.
+    void silence(std::string_view text = {});
+
     // Treats connections as `state` says from now on. Preconditions: listen() succeeded.
     void setState(LinkState state);
 
@@ -76,8 +81,13 @@
         std::string text;  // Empty: nothing is replaced.
         std::string by;
     };
+    // What was passed on over a connection last, and whether it is silent.
+    struct Traffic {
+        std::string forwarded;
+        bool isSilent = false;
+    };
     Task<> pump(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
-                const Replacement& replacement);
+                std::shared_ptr<Traffic> traffic, bool isForward);
     Task<bool> hold(Tcp::socket& from, size_t bytes);
 
     asio::io_context& m_io;
@@ -86,6 +96,7 @@
     Endpoint m_endpoint;
     LinkState m_state = LinkState::kOpen;
     std::vector<std::weak_ptr<Tcp::socket>> m_sockets;  // Of both sides of all connections.
+    std::vector<std::weak_ptr<Traffic>> m_traffic;      // Of all connections.
     std::vector<Tcp::socket> m_fillers;                 // Connections that nobody accepts.
     bool m_cut = false;
     size_t m_bytesPerMs = 0;
--- a/include/state/StoreController.h
+++ b/include/state/StoreController.h
@@ -52,7 +52,10 @@
     StoreWatch& watchOf(ObjectKind kind) { return *m_watches.at(kind); }
     uint64_t knownRevision(ObjectKind kind) const;
     Millis watchWait(ObjectKind kind) const;
+    Millis bound(ObjectKind kind) const;
     Millis pauseAfterChanges(ObjectKind kind) const;
+    void replaceConnections(MonoTime silentAt);
+    void noteRevision(ObjectKind of, uint64_t revision);
     void onUpdate(ObjectKind kind, const StoreUpdate& update);
     static void onReachable(ObjectKind kind, const std::string& why);
     void onCall(ObjectKind kind, const StoreCall& call);
--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -1,6 +1,12 @@
 // One kind of objects of the store, followed: read once from a copy, then watched, listed after a
 // gap. Before each call it asks whether it may make one: a box that relies on others makes none.
 //
+// A connection may go silent for good, without a word. Besides a time-out, two things speak against
+// the connection of a watch that is under way: another watch of the box had to be sent again on a
+// new connection (replaceConnection()), or the answer of another one tells a newer revision and
+// none comes here (noteStoreRevision()). The watch is then abandoned and sent again on a new
+// connection.
+//
 // Owns its connection to the store. Relies on StorePacing and StateAge for when to call and for
 // what an answer covers, and on the dialect for the words.
 #pragma once
@@ -28,7 +34,7 @@
 struct StoreWatchSettings {
     Endpoint store;
     ObjectKind kind = ObjectKind::kConfiguration;
-    Millis timeout = 1500;   // For an answer, beyond the time that a watch is held.
+    Millis timeout = 1500;   // For an answer; for that of a watch, beyond the time it is held.
     bool staggered = false;  // Watches are held for StaggeredWait of their time, not for all of it.
 };
 
@@ -46,6 +52,8 @@
     kChanged,       // The last call brought something: a watch.
     kConfirm,       // This box relied on others, or just started: a short watch.
     kRetry,         // The last call failed.
+    kSilentElsewhere,  // The connection is as old as one that was silent: a short watch.
+    kNewerRevision,    // Another answer tells a newer revision, and none came here: a short watch.
 };
 
 // The cause as it stands in the log and in metrics. Thread safety: any thread.
@@ -91,6 +99,11 @@
         std::function<Millis()> wait;               // How long the next watch is held.
         std::function<Millis()> pauseAfterChanges;  // The others: see StorePacing.
         std::function<Millis(Millis previous)> pauseAfterFailure;
+        // How late the answer to a watch may be that is held for `wait`, by how late the last one
+        // was; see AnswerTime.
+        std::function<Millis(Millis wait, Millis lateness)> answerTime;
+        // No answer came on the connection until `silentAt`, and a new one works.
+        std::function<void(MonoTime silentAt)> onSilenceEnded;
     };
 
     // Preconditions: the dialect outlives the watch.
@@ -106,6 +119,16 @@
     // Reads a copy once more, also while it may not call: that costs little. Preconditions: none.
     void readCopySoon();
 
+    // Another connection to the store was found silent at `silentAt`, and a new one works: one on
+    // which nothing has come since is replaced, and a watch under way there is sent again.
+    // Preconditions: none.
+    void replaceConnection(MonoTime silentAt);
+
+    // The store has reached `revision`, by the answer to another watch. If this one has not heard
+    // of it and hears nothing within `margin`, its connection is replaced. Preconditions: margin >=
+    // 0.
+    void noteStoreRevision(uint64_t revision, Millis margin);
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     // Bytes that are read ahead of the parser.
@@ -139,8 +162,12 @@
     void startAfterWait(MonoTime waitedSince);
     void listAgain(StoreCallCause cause);
     Millis nextWait();
-    Task<Result<Answer>> call(std::string target, Millis timeout);
-    Task<Result<Answer>> exchangeOnce(const std::string& target, Millis timeout);
+    Millis answerTime(Millis wait) const;
+    void noteSuccess();
+    void abandonWatch(StoreCallCause cause);
+    enum class CallKind : uint8_t { kList, kWatch };
+    Task<Result<Answer>> call(std::string target, Millis timeout, CallKind kind);
+    Task<Result<Answer>> exchangeOnce(const std::string& target, Millis timeout, CallKind kind);
     Task<boost::beast::error_code> exchange(const std::string& target, Parser& parser);
     Task<Result<bool>> connect();
     void disconnect();
@@ -165,7 +192,16 @@
     MonoTime m_asOf;  // Everything acknowledged before this is known.
     std::minstd_rand m_random{std::random_device{}()};
     Millis m_pause = 0;
-    bool m_failed = false;  // The last call.
+    bool m_failed = false;               // The last call.
+    bool m_callPending = false;          // A call is under way.
+    bool m_watchPending = false;         // A watch waits for its answer on the connection.
+    uint64_t m_watches = 0;              // Sent so far.
+    uint64_t m_checkedWatch = 0;         // That noteStoreRevision() waits for; by number.
+    asio::steady_timer m_check;          // Of noteStoreRevision().
+    bool m_abandoned = false;            // The watch under way; it ends with an error.
+    MonoTime m_lastHeard;                // The connection was opened, or an answer came on it.
+    std::optional<MonoTime> m_silentAt;  // The last call timed out then.
+    Millis m_lateness = 0;  // Of the last answer to a watch that ended without changes.
     std::string m_unreachable = "not asked yet";
 };
 
--- a/src/freshness/StorePacing.cpp
+++ b/src/freshness/StorePacing.cpp
@@ -31,6 +31,15 @@
 constexpr Millis kMaxPauseServingMs = 1600;
 constexpr Millis kFirstPauseMs = 50;  // A lost packet should not delay a box longer.
 
+// A watch shows a silent connection if it leaves an answer at least this time.
+constexpr Millis kMinAnswerTimeMs = 150;
+
+// What is left of a bound is divided between the answer of a watch and, if none comes, the next
+// connection, the pause before it and the answer there.
+Millis AnswerTimeWithin(Millis wait, Millis bound) {
+    return (bound - wait) * 2 / 3;
+}
+
 // Tolerance for the network delay of a response, beyond the age that the state normally reaches.
 constexpr Millis kAnswerMarginMs = 250;
 
@@ -43,6 +52,8 @@
 FollowerBounds FitFollowers(Millis drainBound, Millis maxAge, StorePacingSettings& settings) {
     const Millis shorter = std::min(drainBound, maxAge);
     const Millis bound = std::clamp<Millis>(shorter, kMinFollowBoundMs, kMaxFollowBoundMs);
+    settings.configurationBound = maxAge;
+    settings.upstreamBound = drainBound;
     settings.maxChangePause = drainBound / kChangePauseDivisor;
     settings.followPeriod = bound / kFollowPeriodDivisor;
     settings.followedPause = bound / kFollowedPauseDivisor;
@@ -61,6 +72,26 @@
     return bound / 2;
 }
 
+bool ShowsSilence(Millis wait, Millis bound) {
+    return AnswerTimeWithin(wait, std::max(bound, kMinFollowBoundMs)) >= kMinAnswerTimeMs;
+}
+
+Millis UpstreamWait(const StorePacingSettings& settings) {
+    if (ShowsSilence(settings.configurationWait, settings.upstreamBound)) {
+        return settings.upstreamWait;
+    }
+    const Millis fitting = ConfigurationWait(std::max(settings.upstreamBound, kMinFollowBoundMs));
+    return std::min(settings.upstreamWait, fitting);
+}
+
+Millis AnswerTime(Millis wait, Millis bound, Millis timeout, Millis lateness) {
+    if (!ShowsSilence(wait, bound)) {
+        return timeout;
+    }
+    const Millis fitting = AnswerTimeWithin(wait, std::max(bound, kMinFollowBoundMs));
+    return std::min(std::max(fitting, 2 * lateness), timeout);
+}
+
 Millis WatchWait(const StorePacingSettings& settings, const StorePacingInputs& inputs,
                  Millis wait) {
     return inputs.watchesForOthers ? std::min(wait, settings.followedWait) : wait;
@@ -95,7 +126,7 @@
 }
 
 bool IsOverdue(const StorePacingSettings& settings, const StateAges& ages) {
-    const Millis upstreamLimit = settings.upstreamWait + settings.maxChangePause + kAnswerMarginMs;
+    const Millis upstreamLimit = UpstreamWait(settings) + settings.maxChangePause + kAnswerMarginMs;
     return !IsWithin(ages.configuration, settings.configurationWait + kAnswerMarginMs) ||
            !IsWithin(ages.upstreams, upstreamLimit);
 }
--- a/src/standin/FakeLink.cpp
+++ b/src/standin/FakeLink.cpp
@@ -135,8 +135,20 @@
     }
     near->set_option(Tcp::no_delay(true), ec);
     far->set_option(Tcp::no_delay(true), ec);
-    Spawn(m_io.get_executor(), pump(near, far, m_forward));
-    Spawn(m_io.get_executor(), pump(far, near, m_back));
+    const auto traffic = std::make_shared<Traffic>();
+    std::erase_if(m_traffic, [](const auto& other) { return other.expired(); });
+    m_traffic.push_back(traffic);
+    Spawn(m_io.get_executor(), pump(near, far, traffic, true));
+    Spawn(m_io.get_executor(), pump(far, near, traffic, false));
+}
+
+void FakeLink::silence(std::string_view text) {
+    for (const auto& weak : m_traffic) {
+        const auto traffic = weak.lock();
+        if (traffic && traffic->forwarded.find(text) != std::string::npos) {
+            traffic->isSilent = true;
+        }
+    }
 }
 
 void FakeLink::setReplacement(std::string text, std::string by) {
@@ -148,7 +160,8 @@
 }
 
 Task<> FakeLink::pump(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
-                      const Replacement& replacement) {
+                      std::shared_ptr<Traffic> traffic, bool isForward) {
+    const Replacement& replacement = isForward ? m_forward : m_back;
     std::array<char, 16384> buffer;
     error_code ec;
     while (!ec) {
@@ -164,14 +177,22 @@
         if (!replacement.text.empty()) {
             ReplaceAll(std::span(buffer).first(got), replacement.text, replacement.by);
         }
+        if (traffic->isSilent) {
+            continue;
+        }
+        if (isForward) {
+            traffic->forwarded.assign(buffer.data(), got);
+        }
         const bool delivered = co_await hold(*from, got);
         if (!ec && delivered) {
             co_await asio::async_write(*to, asio::buffer(buffer, got),
                                        asio::redirect_error(asio::use_awaitable, ec));
         }
     }
-    error_code ignored;
-    to->shutdown(Tcp::socket::shutdown_both, ignored);
+    if (!traffic->isSilent) {
+        error_code ignored;
+        to->shutdown(Tcp::socket::shutdown_both, ignored);
+    }
 }
 
 // Waits for the mend of a cut; false if the sender of what is held has reset its connection.
--- a/src/state/StoreController.cpp
+++ b/src/state/StoreController.cpp
@@ -84,6 +84,10 @@
     sink.pauseAfterFailure = [this](Millis previous) {
         return PauseAfterFailure(previous, m_pacingFacts());
     };
+    sink.answerTime = [this, kind](Millis wait, Millis lateness) {
+        return AnswerTime(wait, bound(kind), m_settings.storeTimeout, lateness);
+    };
+    sink.onSilenceEnded = [this](MonoTime silentAt) { replaceConnections(silentAt); };
     return std::make_unique<StoreWatch>(m_executor, m_dialect, watch, std::move(sink));
 }
 
@@ -111,10 +115,46 @@
     }
     const StorePacingSettings& pacing = m_settings.pacing;
     const bool configuration = kind == ObjectKind::kConfiguration;
-    const Millis wait = configuration ? pacing.configurationWait : pacing.upstreamWait;
+    const Millis wait = configuration ? pacing.configurationWait : UpstreamWait(pacing);
     return WatchWait(pacing, m_pacingFacts(), wait);
 }
 
+// Within which time what a watch tells has to take effect. The watch of the list of upstreams may
+// be too long to show a silent connection in time, and relies on that of the configuration; the
+// boxes that follow this one learn it a period later.
+Millis StoreController::bound(ObjectKind kind) const {
+    const StorePacingSettings& pacing = m_settings.pacing;
+    if (kind == ObjectKind::kEvacuations) {
+        return m_settings.evacuationBound;
+    }
+    if (kind == ObjectKind::kRollouts) {
+        return m_settings.rollout.bound;
+    }
+    const Millis bound = kind == ObjectKind::kUpstreams
+                             ? pacing.upstreamBound
+                             : std::min(pacing.configurationBound, pacing.upstreamBound);
+    const Millis followPeriod = m_pacingFacts().watchesForOthers ? pacing.followPeriod : 0;
+    return std::max<Millis>(0, bound - followPeriod);
+}
+
+void StoreController::replaceConnections(MonoTime silentAt) {
+    for (const auto& [kind, watch] : m_watches) {
+        watch->replaceConnection(silentAt);
+    }
+}
+
+// The revision counts changes of all kinds. A watch that shows silence in time by itself needs no
+// such sign, and a call each time another kind changes.
+void StoreController::noteRevision(ObjectKind of, uint64_t revision) {
+    for (const auto& [kind, watch] : m_watches) {
+        if (kind != of && !ShowsSilence(watchWait(kind), bound(kind))) {
+            const Millis wait = m_settings.pacing.configurationWait;
+            const Millis margin = AnswerTime(wait, bound(kind), m_settings.storeTimeout, 0) / 2;
+            watch->noteStoreRevision(revision, margin);
+        }
+    }
+}
+
 // A configuration change, an evacuation or a rollout must take effect at once, so there is no pause
 // after it. Changes of upstreams are batched.
 Millis StoreController::pauseAfterChanges(ObjectKind kind) const {
@@ -149,6 +189,9 @@
 }
 
 void StoreController::onUpdate(ObjectKind kind, const StoreUpdate& update) {
+    if (update.asOf) {
+        noteRevision(kind, update.revision);
+    }
     switch (kind) {
         case ObjectKind::kConfiguration:
             return applyConfiguration(update);
--- a/src/store/StoreWatch.cpp
+++ b/src/store/StoreWatch.cpp
@@ -64,6 +64,10 @@
             return "confirm";
         case StoreCallCause::kRetry:
             return "retry";
+        case StoreCallCause::kSilentElsewhere:
+            return "silent-elsewhere";
+        case StoreCallCause::kNewerRevision:
+            return "newer-revision";
     }
     return "invalid";
 }
@@ -74,7 +78,8 @@
       m_dialect(dialect),
       m_settings(settings),
       m_sink(std::move(sink)),
-      m_wake(m_executor, asio::steady_timer::time_point::max()) {}
+      m_wake(m_executor, asio::steady_timer::time_point::max()),
+      m_check(m_executor) {}
 
 void StoreWatch::readCopySoon() {
     m_copyWanted = true;
@@ -137,20 +142,60 @@
 Task<> StoreWatch::callOnce() {
     const Result<bool> done = co_await makeCall();
     if (done.has_value()) {
-        noteReachable("");
-        // A list is of use only if it can be watched from.
-        m_pause = m_isListNew ? m_pause : 0;
-        m_failed = false;
+        noteSuccess();
         co_return;
     }
     disconnect();
     m_failed = true;
+    if (std::exchange(m_abandoned, false)) {
+        co_return;  // Sent again at once: nothing says that the store fails.
+    }
     m_cause = StoreCallCause::kRetry;
     noteReachable(done.error().text());
     const Millis pause = pauseAfterFailure();
     co_await SleepFor(pause);
 }
 
+void StoreWatch::noteSuccess() {
+    noteReachable("");
+    // A list is of use only if it can be watched from.
+    m_pause = m_isListNew ? m_pause : 0;
+    m_failed = false;
+    if (const auto silentAt = std::exchange(m_silentAt, std::nullopt)) {
+        m_sink.onSilenceEnded(*silentAt);
+    }
+}
+
+void StoreWatch::replaceConnection(MonoTime silentAt) {
+    if (m_lastHeard >= silentAt) {
+        return;
+    }
+    if (m_watchPending) {
+        abandonWatch(StoreCallCause::kSilentElsewhere);
+    } else if (!m_callPending) {
+        disconnect();
+    }
+}
+
+void StoreWatch::noteStoreRevision(uint64_t revision, Millis margin) {
+    if (!m_watchPending || revision <= m_revision || m_checkedWatch == m_watches) {
+        return;
+    }
+    m_checkedWatch = m_watches;
+    m_check.expires_after(std::chrono::milliseconds(margin));
+    m_check.async_wait([this, watch = m_watches](const boost::system::error_code& ec) {
+        if (!ec && m_watchPending && watch == m_watches) {
+            abandonWatch(StoreCallCause::kNewerRevision);
+        }
+    });
+}
+
+void StoreWatch::abandonWatch(StoreCallCause cause) {
+    m_abandoned = true;
+    m_cause = cause;
+    m_stream->cancel();
+}
+
 Millis StoreWatch::pauseAfterFailure() {
     m_pause = m_sink.pauseAfterFailure(m_pause);
     return std::uniform_int_distribution<Millis>(m_pause / 2, m_pause)(m_random);
@@ -171,7 +216,8 @@
 
 Task<Result<ObjectPage>> StoreWatch::readPage(std::string after, ListSource source) {
     std::string target = m_dialect.listTarget(m_settings.kind, after, source);
-    const Result<Answer> answer = co_await call(std::move(target), m_settings.timeout);
+    const Result<Answer> answer =
+        co_await call(std::move(target), m_settings.timeout, CallKind::kList);
     if (answer.has_error()) {
         co_return answer.error();
     }
@@ -341,8 +387,8 @@
                                                                          Millis wait) {
     const MonoTime sent = ReadClocks().mono;
     std::string target = m_dialect.watchTarget(m_settings.kind, revision, wait);
-    const Millis timeout = wait + m_settings.timeout;
-    const Result<Answer> answer = co_await call(std::move(target), timeout);
+    const Millis timeout = wait + answerTime(wait);
+    const Result<Answer> answer = co_await call(std::move(target), timeout, CallKind::kWatch);
     if (answer.has_error()) {
         co_return answer.error();
     }
@@ -369,12 +415,21 @@
     }
     Changes changes{std::move(read.value()), std::nullopt};
     const size_t count = changes.content.objects.size();
+    if (count == 0) {
+        m_lateness = std::max<Millis>(0, ReadClocks().mono - sent - wait);
+    }
     if (!MayBePart(answer.value().body.size(), count)) {
         changes.asOf = WatchConfirmedAsOf(sent, ReadClocks().mono, wait, count == 0);
     }
     co_return std::optional<Changes>(std::move(changes));
 }
 
+// After a failure all the time is given: a second call that is abandoned too early would be one
+// more of many.
+Millis StoreWatch::answerTime(Millis wait) const {
+    return m_failed ? m_settings.timeout : m_sink.answerTime(wait, m_lateness);
+}
+
 void StoreWatch::disconnect() {
     m_stream.reset();
     m_buffer.clear();
@@ -392,13 +447,17 @@
                         ec.message()};
     }
     m_stream->socket().set_option(Tcp::no_delay(true), ec);
+    m_lastHeard = ReadClocks().mono;
     co_return true;
 }
 
-Task<Result<StoreWatch::Answer>> StoreWatch::call(std::string target, Millis timeout) {
+Task<Result<StoreWatch::Answer>> StoreWatch::call(std::string target, Millis timeout,
+                                                  CallKind kind) {
     const MonoTime sent = ReadClocks().mono;
     StoreCall call{m_cause, std::move(target)};
-    Result<Answer> answer = co_await exchangeOnce(call.target, timeout);
+    m_callPending = true;
+    Result<Answer> answer = co_await exchangeOnce(call.target, timeout, kind);
+    m_callPending = false;
     call.took = ReadClocks().mono - sent;
     call.bytes = answer.has_value() ? answer.value().body.size() : 0;
     call.end = answer.has_error() ? answer.error().text() : std::to_string(answer.value().status);
@@ -406,8 +465,8 @@
     co_return answer;
 }
 
-Task<Result<StoreWatch::Answer>> StoreWatch::exchangeOnce(const std::string& target,
-                                                          Millis timeout) {
+Task<Result<StoreWatch::Answer>> StoreWatch::exchangeOnce(const std::string& target, Millis timeout,
+                                                          CallKind kind) {
     if (!m_stream) {
         const Result<bool> connected = co_await connect();
         if (connected.has_error()) {
@@ -417,13 +476,21 @@
     m_stream->expires_after(std::chrono::milliseconds(timeout));
     Parser parser;
     parser.body_limit(kMaxAnswerBytes);
+    m_watchPending = kind == CallKind::kWatch;
+    m_watches += m_watchPending ? 1 : 0;
     const beast::error_code ec = co_await exchange(target, parser);
+    m_watchPending = false;
     if (ec) {
         // An answer that was lost may still come: nothing more is read from this connection.
         disconnect();
+        if (ec == beast::error::timeout) {
+            m_silentAt = ReadClocks().mono;
+        }
         co_return Error{ErrorCode::kTimeout, "store.call", EndpointText(m_settings.store),
                         ec.message()};
     }
+    m_abandoned = false;  // The answer came all the same.
+    m_lastHeard = ReadClocks().mono;
     if (!IsAnswerHead(parser.get())) {
         disconnect();
         co_return Error{ErrorCode::kProtocol, "store.call", EndpointText(m_settings.store),
--- a/tests/StorePacingTest.cpp
+++ b/tests/StorePacingTest.cpp
@@ -67,3 +67,50 @@
     CHECK(StateAges{100, 200}.older() == Millis{200});
     CHECK_FALSE(StateAges{100, std::nullopt}.older().has_value());
 }
+
+namespace {
+
+// Until a watch is sent again whose connection went silent just after it was sent.
+Millis SilenceShown(Millis wait, Millis bound, Millis timeout) {
+    return wait + AnswerTime(wait, bound, timeout, 0) + PauseAfterFailure(0, StorePacingInputs{});
+}
+
+}  // namespace
+
+// Guards against a watch whose wait and time-out together are longer than the bound on what it
+// watches.
+TEST_CASE("A watch that shows silence is sent again within its bound, whatever the settings") {
+    const Millis bound = GENERATE(600, 1000, 1600, 2000, 3000, 5000, 20000);
+    const Millis timeout = GENERATE(300, 1500, 60000);
+    CAPTURE(bound, timeout);
+    for (const Millis wait : {ConfigurationWait(bound), OrderWait(bound)}) {
+        CHECK(ShowsSilence(wait, bound));
+        CHECK(SilenceShown(wait, bound, timeout) + kMinWatchWaitMs < bound);
+    }
+}
+
+TEST_CASE("The list of upstreams is watched so that silence is shown within its bound") {
+    const Millis bound = GENERATE(0, 600, 1000, 2000, 4000);
+    const Millis maxAge = GENERATE(700, 1600, 3600);
+    const Millis wait = GENERATE(10, 4000, 30000);
+    CAPTURE(bound, maxAge, wait);
+    StorePacingSettings settings;
+    FitFollowers(bound, maxAge, settings);
+    settings.configurationWait = ConfigurationWait(maxAge);
+    settings.upstreamWait = wait;
+    CHECK(UpstreamWait(settings) <= wait);
+    const bool ownShows = ShowsSilence(UpstreamWait(settings), bound);
+    CHECK((ownShows || ShowsSilence(settings.configurationWait, bound)));
+    CHECK(ShowsSilence(settings.followedWait, bound));
+}
+
+// Guards against more calls to a store that is slow.
+TEST_CASE("A slow store is given more time for its answers, up to the setting") {
+    constexpr Millis kTimeout = 1500;
+    const Millis usual = AnswerTime(1000, 2000, kTimeout, 0);
+    CHECK(usual < kTimeout);
+    CHECK(AnswerTime(1000, 2000, kTimeout, usual / 4) == usual);
+    CHECK(AnswerTime(1000, 2000, kTimeout, usual) == 2 * usual);
+    CHECK(AnswerTime(1000, 2000, kTimeout, kTimeout) == kTimeout);
+    CHECK(AnswerTime(4000, 2000, kTimeout, 0) == kTimeout);
+}
