--- a/include/store/StoreWatch.h
+++ b/include/store/StoreWatch.h
@@ -34,7 +34,7 @@
 struct StoreWatchSettings {
     Endpoint store;
     ObjectKind kind = ObjectKind::kConfiguration;
-    Millis timeout = 1500;   // For an answer; for that of a watch, beyond the time it is held.
+    Millis timeout = 1500;   // The most for an answer, beyond the time that a watch is held.
     bool staggered = false;  // Watches are held for StaggeredWait of their time, not for all of it.
 };
 
@@ -125,8 +125,8 @@
     void replaceConnection(MonoTime silentAt);
 
     // The store has reached `revision`, by the answer to another watch. If this one has not heard
-    // of it and hears nothing within `margin`, its connection is replaced. Preconditions: margin >=
-    // 0.
+    // of it and hears nothing within `margin` milliseconds, its connection is replaced.
+    // Preconditions: margin >= 0.
     void noteStoreRevision(uint64_t revision, Millis margin);
 
 private:
@@ -134,6 +134,8 @@
     // Bytes that are read ahead of the parser.
     static constexpr size_t kMaxBuffered = size_t{64} * 1024;
 
+    enum class CallKind : uint8_t { kList, kWatch };
+
     struct Answer {
         unsigned status = 0;
         std::string body;
@@ -165,7 +167,6 @@
     Millis answerTime(Millis wait) const;
     void noteSuccess();
     void abandonWatch(StoreCallCause cause);
-    enum class CallKind : uint8_t { kList, kWatch };
     Task<Result<Answer>> call(std::string target, Millis timeout, CallKind kind);
     Task<Result<Answer>> exchangeOnce(const std::string& target, Millis timeout, CallKind kind);
     Task<boost::beast::error_code> exchange(const std::string& target, Parser& parser);
